--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,396 @@
+//! The interface of the decision module: settings in, events in, actions out.
+//!
+//! Times are [`Duration`]s on the embedding gateway's own clock, which starts anywhere and never runs back.
+//! Ids are chosen by the gateway: hosts are numbered densely from 0, requests by any number not used before.
+//! An event about a host or request that the module does not know, or that is already over, is passed over.
+
+use std::time::Duration;
+
+/// A host, numbered densely from 0 by the gateway; at most [`HostId::LIMIT`] per instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct HostId(pub u32);
+
+impl HostId {
+    /// Hosts numbered from here on are passed over.
+    pub const LIMIT: u32 = 1 << 20;
+}
+
+/// A request, by a number that the gateway uses once; never 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub u64);
+
+/// What repeating a request may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Safe to repeat and to refuse at any time.
+    Safe,
+    /// Carries a key: hosts of `group` drop a repeat within `window` of the send that may have run.
+    Keyed {
+        /// The hosts that know each other's keys.
+        group: Group,
+        /// How long they remember.
+        window: Duration,
+    },
+    /// Must never run twice.
+    Unsafe,
+}
+
+/// The hosts that drop each other's repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// Every host.
+    All,
+    /// The hosts of one zone.
+    Zone,
+    /// The hosts of one cell.
+    Cell,
+}
+
+impl Group {
+    /// Whether the two hosts drop each other's repeats.
+    pub fn joins(self, a: &Host, b: &Host) -> bool {
+        match self {
+            Group::All => true,
+            Group::Zone => a.zone == b.zone,
+            Group::Cell => a.cell == b.cell,
+        }
+    }
+}
+
+/// A request class.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// An answer within this time earns the full worth.
+    pub aim: Duration,
+    /// The aim grows by this many times the work of the request, up to the deadline.
+    pub aim_stretch: f64,
+    /// How long a client waits in all, over all its tries.
+    pub deadline: Duration,
+    /// The worth of one request (or of one unit of its work).
+    pub worth: f64,
+    /// The part of the worth that an answer after the aim still earns.
+    pub late_worth: f64,
+    /// What repeating it may do.
+    pub effect: Effect,
+    /// Requests of one key run one at a time, in the order taken.
+    pub sequential: bool,
+}
+
+impl Class {
+    /// A class that is safe to repeat, worth 1 within `aim` and nothing later.
+    pub fn new(aim: Duration, deadline: Duration) -> Self {
+        let effect = Effect::Safe;
+        Class { aim, aim_stretch: 0.0, deadline, worth: 1.0, late_worth: 0.0, effect, sequential: false }
+    }
+}
+
+/// What a host's `weight` means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Weights {
+    /// Nothing.
+    Off,
+    /// Its size, exactly or roughly.
+    Size,
+    /// Its size divided by 1 + requests held per core, some time ago.
+    Live,
+}
+
+/// What an instance is told at its start. The default allows everything and knows no class.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// How many gateways there are, this one included.
+    pub gateways: u32,
+    /// The zone of this gateway.
+    pub zone: u32,
+    /// The request classes; a request names one by its place.
+    pub classes: Vec<Class>,
+    /// Each tenant's quota, requests per second over all gateways; a request names its tenant by its place.
+    pub quotas: Vec<f64>,
+    /// The worth of a request beyond its tenant's quota, as a part of its class's worth.
+    pub over_quota_worth: f64,
+    /// `Some(t)` where host news comes only to those who ask, and must be asked for every `t`.
+    pub ask_within: Option<Duration>,
+    /// The shortest time between two moments at which the gateway acts.
+    pub tick: Duration,
+    /// The most attempts for one request.
+    pub max_attempts: u32,
+    /// An attempt may be called off.
+    pub may_cancel: bool,
+    /// Two attempts of one request may be out at once.
+    pub second_copies: bool,
+    /// Hosts may be probed.
+    pub probes: bool,
+    /// The longest advice to keep away that clients heed; zero where they are told none.
+    pub max_keep_away: Duration,
+    /// A starting host does at least this part of its full work.
+    pub cold_from: f64,
+    /// A started host is warm after this time.
+    pub cold_for: Duration,
+    /// A cold host that is sent this many times what it can do falls over ...
+    pub overload_factor: f64,
+    /// ... when it lasts this long.
+    pub overload_for: Duration,
+    /// How long a key of a sequential class rests after an attempt that may still be running.
+    pub key_rest: Duration,
+    /// Where given, how long idle connections to a draining host may stay open.
+    pub release_within: Option<Duration>,
+    /// The price of an attempt in another zone, as a part of a request's worth.
+    pub cross_zone_price: f64,
+    /// A host does less work for a key that it met lately.
+    pub warm_keys: bool,
+    /// What [`Host::weight`] means.
+    pub weights: Weights,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            gateways: 1,
+            zone: 0,
+            classes: Vec::new(),
+            quotas: Vec::new(),
+            over_quota_worth: 1.0,
+            ask_within: None,
+            tick: Duration::from_millis(1),
+            max_attempts: 3,
+            may_cancel: true,
+            second_copies: true,
+            probes: true,
+            max_keep_away: Duration::ZERO,
+            cold_from: 0.1,
+            cold_for: Duration::from_secs(30),
+            overload_factor: 2.0,
+            overload_for: Duration::from_secs(1),
+            key_rest: Duration::ZERO,
+            release_within: None,
+            cross_zone_price: 0.0,
+            warm_keys: false,
+            weights: Weights::Off,
+        }
+    }
+}
+
+/// The state of a host, as discovery tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HostState {
+    /// Takes work.
+    Up,
+    /// Finishes what it has; nothing new may be sent.
+    Draining,
+    /// Gone.
+    Removed,
+}
+
+/// One entry of a host list.
+#[derive(Clone, Debug)]
+pub struct Host {
+    /// Its number at this gateway.
+    pub id: HostId,
+    /// A hash of its lasting name, the same at every gateway: see [`stable_hash`].
+    pub hash: u64,
+    /// Its state.
+    pub state: HostState,
+    /// Its zone.
+    pub zone: u32,
+    /// Its cell: the hosts that share the keys they have seen.
+    pub cell: u32,
+    /// When it last started; `None` for long ago.
+    pub started: Option<Duration>,
+    /// Its machine kind.
+    pub kind: u32,
+    /// A figure to compare hosts by: see [`Settings::weights`].
+    pub weight: f64,
+}
+
+impl Host {
+    /// A host of zone, cell and kind 0 that has been up for long.
+    pub fn new(id: HostId, name: &str) -> Self {
+        let hash = stable_hash(name);
+        Host { id, hash, state: HostState::Up, zone: 0, cell: 0, started: None, kind: 0, weight: 1.0 }
+    }
+}
+
+impl Default for Host {
+    /// A host that is not there.
+    fn default() -> Self {
+        Host { state: HostState::Removed, ..Host::new(HostId(0), "") }
+    }
+}
+
+/// A request from a client.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its number.
+    pub id: RequestId,
+    /// Its class: a place in [`Settings::classes`].
+    pub class: usize,
+    /// Its tenant: a place in [`Settings::quotas`].
+    pub tenant: usize,
+    /// [`stable_hash`] of its subject; requests of one key are related.
+    pub key: Option<u64>,
+    /// Expected work, as time on a standard core.
+    pub cost_hint: Option<Duration>,
+    /// The client has tried before (where clients say so).
+    pub repeat: bool,
+    /// When the client gives this try up.
+    pub give_up_at: Duration,
+}
+
+impl Request {
+    /// A plain request: tenant 0, no key, no hint.
+    pub fn new(id: RequestId, class: usize, give_up_at: Duration) -> Self {
+        Request { id, class, tenant: 0, key: None, cost_hint: None, repeat: false, give_up_at }
+    }
+}
+
+/// How an attempt or a probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Served.
+    Served,
+    /// The host answered with an error; it may have run.
+    Error,
+    /// Turned away unseen; it did not run.
+    Rejected,
+    /// No answer by the attempt's time-out; it may have run or still be running.
+    TimedOut,
+    /// No connection could be had; it did not run.
+    NoConnection,
+    /// The connection broke; it may have run.
+    Reset,
+    /// Called off; it may have run.
+    Cancelled,
+    /// The gateway did not send it; it did not run.
+    NotSent,
+}
+
+impl Outcome {
+    /// Whether this outcome proves that the attempt never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Rejected | Outcome::NoConnection | Outcome::NotSent)
+    }
+}
+
+/// What happens at the gateway.
+#[derive(Clone, Debug)]
+pub enum Event<'a> {
+    /// Host news. In a `full` list a host that is missing is gone.
+    Hosts {
+        /// A complete list, not only changes.
+        full: bool,
+        /// The entries.
+        hosts: &'a [Host],
+    },
+    /// A [`Action::Subscribe`] failed or the subscription broke.
+    DiscoveryFailed,
+    /// A client's request: one final answer is owed from here on.
+    Request(Request),
+    /// The answer of a streamed request has begun; its time-outs stop.
+    Started {
+        /// The request.
+        request: RequestId,
+        /// Which attempt of it, from 0 in the order sent.
+        attempt: u32,
+        /// From the send until now.
+        latency: Duration,
+    },
+    /// An attempt has ended; each [`Action::Send`] is answered by one of these.
+    Outcome {
+        /// The request.
+        request: RequestId,
+        /// Which attempt of it, from 0 in the order sent.
+        attempt: u32,
+        /// From the send until now.
+        latency: Duration,
+        /// How.
+        outcome: Outcome,
+        /// The request is over: no answer is owed any more.
+        over: bool,
+    },
+    /// The client has left: the request is over.
+    Abandoned {
+        /// The request.
+        request: RequestId,
+    },
+    /// A timer set by [`Action::Wake`] is due.
+    Timer {
+        /// The token given there.
+        token: u64,
+    },
+    /// A probe has ended.
+    Probed {
+        /// The host.
+        host: HostId,
+        /// How.
+        outcome: Outcome,
+        /// From the send until now.
+        latency: Duration,
+    },
+}
+
+/// What the gateway is to do, in the order given.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send an attempt of the request to the host and give it up at `until`.
+    Send {
+        /// The request.
+        request: RequestId,
+        /// Where.
+        host: HostId,
+        /// When the attempt times out.
+        until: Duration,
+    },
+    /// Call an attempt off.
+    Cancel {
+        /// The request.
+        request: RequestId,
+        /// Which attempt, from 0 in the order sent.
+        attempt: u32,
+    },
+    /// Final answer: refused. Trying again is harmless.
+    Refuse {
+        /// The request.
+        request: RequestId,
+        /// How long the client is asked to keep away; zero for no advice.
+        keep_away: Duration,
+    },
+    /// Final answer: failed. Whether it ran is not known.
+    Fail {
+        /// The request.
+        request: RequestId,
+    },
+    /// Send an [`Event::Timer`] after this time.
+    Wake {
+        /// From now.
+        after: Duration,
+        /// Comes back with the event.
+        token: u64,
+    },
+    /// Probe the host.
+    Probe {
+        /// The host.
+        host: HostId,
+    },
+    /// Close the idle connections to the host.
+    Close {
+        /// The host.
+        host: HostId,
+    },
+    /// Ask discovery for all changes from now on; answered by [`Event::Hosts`] or [`Event::DiscoveryFailed`].
+    Subscribe,
+}
+
+/// A hash that is the same at every gateway and in every build (64-bit FNV-1a, mixed), for host names and keys.
+pub fn stable_hash(text: &str) -> u64 {
+    let folded = text
+        .bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3));
+    mix(folded)
+}
+
+/// Spreads the bits of a number (the finalizer of MurmurHash3).
+pub fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    x = (x ^ (x >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    x ^ (x >> 33)
+}
--- /dev/null
+++ b/src/balancer.rs
@@ -0,0 +1,651 @@
+//! Every decision of a gateway. The interface (settings, events, actions) stands in `src/api.rs`.
+//!
+//! Ordinary path: a two-sided [`Cusum`] on each host's latency moves the host's epoch estimate E at detected
+//! shifts; a request goes to the ready host with the lowest (in-flight + 1) x E. Exceptions: docs/design.md.
+
+use crate::api::{self, Action, Effect, Event, HostId, HostState, Outcome, RequestId, Settings, Weights};
+use rustc_hash::FxHashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+const ALPHA: f64 = 0.15; // weight of a sample in the tracking mean (α)
+const SHIFT: f64 = 0.25; // smallest shift worth detecting (K), as a part of the first epoch's mean
+const RUN_LENGTH: f64 = 40.0; // samples between false alarms that the threshold H aims at
+const SPREAD_GAIN: f64 = 0.1; // weight of a sample in the spread (σ), the class means and the mean hint
+const FLOOR: f64 = 0.2; // the most by which an epoch estimate falls at one change
+const UPKEEP_S: f64 = 0.03; // seconds between upkeeps: rates, decay and the hosts' current estimates
+const RATE_S: f64 = 3.0; // time constant of the measured rates, in seconds
+const RETEST: f64 = 6.0; // longest aims without a sample in which a raised E loses half its excess
+const COPY_AT: f64 = 3.0; // a second copy goes out when an attempt takes this many times its expected latency
+const FIRST_E: f64 = 0.25; // part of the shortest aim that stands in for E until anything is heard
+const COPY_SHARE: f64 = 0.03; // second copies and retries that each first try pays for
+const COLD_SHARE: f64 = 1.2; // part of a cold host's least capacity that all gateways together use
+const CROSSING: f64 = 30.0; // what a zone crossing adds to a host's score, times its price, while all is well
+const SPILL: f64 = 0.85; // part of that which goes as requests end unserved: a zone in trouble spills over
+const CROWDED: f64 = 3.0; // a key leaves its own hosts when their score is this many times the best
+/// Requests are let in while what is in flight could be served within the shortest aim while all are served
+/// in time, and within this part of it once LATE of them are not ...
+const TIGHT: f64 = 0.3;
+const LATE: f64 = 0.06;
+/// ... with so many standard deviations of chance and, over all gateways, so many a host.
+const CHANCE: f64 = 0.5;
+const SLACK: f64 = 1.0;
+const ENOUGH: f64 = 20.0; // least requests that the rates of served and lost average: few come at size
+const HOLD_S: f64 = 0.015; // a request for which no host is ready is looked at again after so many seconds
+const ASK: u64 = 0; // the timer token of discovery upkeep
+const CLOSE: u64 = 1 << 62; // the timer token of closing on drains
+
+type Out<'a> = &'a mut Vec<Action>;
+
+fn wake(after: f64, token: u64) -> Action {
+    Action::Wake { after: Duration::from_secs_f64(after.max(0.0)), token }
+}
+
+/// The detector of one host: an α-filtered mean and a two-sided Cusum over it.
+#[derive(Clone, Debug, Default)]
+pub struct Cusum {
+    mean: f64,
+    shift: f64,
+    spread: f64,
+    rise: f64,
+    fall: f64,
+    since_rise: u32,
+    since_fall: u32,
+    limit: (f64, f64),
+    epoch: f64,
+    moved: bool,
+    samples: u32,
+}
+
+impl Cusum {
+    /// A detector that starts at `prior`, or at its first sample where that is 0.
+    pub fn new(prior: f64) -> Self {
+        Cusum { mean: prior, epoch: prior, shift: SHIFT * prior, spread: SHIFT * prior, ..Cusum::default() }
+    }
+
+    /// The epoch estimate E.
+    pub fn estimate(&self) -> f64 {
+        self.epoch
+    }
+
+    /// Takes a sample; true when it starts a new epoch.
+    pub fn add(&mut self, y: f64) -> bool {
+        if self.mean <= 0.0 {
+            *self = Cusum::new(y);
+        }
+        self.samples += 1;
+        self.spread += SPREAD_GAIN * ((y - self.mean).abs() - self.spread);
+        let before = self.mean;
+        self.mean += ALPHA * (y - self.mean);
+        if !self.moved {
+            (self.epoch, self.shift) = (self.mean, SHIFT * self.mean);
+        }
+        self.rise = (self.rise + y - (self.mean + self.shift)).max(0.0);
+        self.fall = (self.fall + (self.mean - self.shift) - y).max(0.0);
+        (self.since_rise, self.since_fall) = (self.since_rise + 1, self.since_fall + 1);
+        // The bisection is repeated only once K/σ has moved by a tenth.
+        let ratio = self.shift / self.spread.max(1e-9);
+        if (ratio / self.limit.0 - 1.0).abs() > 0.1 || self.limit.0 == 0.0 {
+            self.limit = (ratio, Cusum::threshold(ratio, RUN_LENGTH));
+        }
+        let limit = self.limit.1 * self.spread;
+        let to = if self.rise > limit {
+            before + self.shift + self.rise / f64::from(std::mem::take(&mut self.since_rise))
+        } else if self.fall > limit {
+            let to = before - self.shift - self.fall / f64::from(std::mem::take(&mut self.since_fall));
+            to.max(FLOOR * before)
+        } else {
+            return false;
+        };
+        (self.epoch, self.mean, self.moved, self.rise, self.fall) = (to, to, true, 0.0, 0.0);
+        true
+    }
+
+    /// H/σ at which Siegmund's run length reaches `target` samples, for K/σ = `ratio`, by bisection.
+    pub fn threshold(ratio: f64, target: f64) -> f64 {
+        let run_length = |h: f64| {
+            let x = 2.0 * ratio * (h + 1.166);
+            (x.exp() - x - 1.0) / (2.0 * ratio * ratio)
+        };
+        let (mut low, mut high) = (0.0, target.sqrt());
+        for _ in 0..40 {
+            let mid = 0.5 * (low + high);
+            *(if run_length(mid) < target { &mut low } else { &mut high }) = mid;
+        }
+        high
+    }
+}
+
+/// A host as this gateway sees it.
+#[derive(Clone, Debug, Default)]
+struct Host {
+    entry: api::Host,
+    started: f64,
+    size: f64, // its weight against the mean of the ready hosts, where weights tell sizes
+    detector: Cusum,
+    e: f64,        // E as the pick uses it: aged, or the others' mean where nothing was heard
+    out: Vec<f64>, // when the attempts out were sent, oldest first
+    heard: f64,
+    failures: i32,
+    served: f64,   // when it last served anything
+    ill: Vec<Ill>, // by class
+    tokens: f64,   // sends that it may get now; without end once it is warm
+}
+
+/// Failures in a row of one class at one host: how many, the first and the last.
+#[derive(Clone, Copy, Debug, Default)]
+struct Ill {
+    count: i32,
+    served: f64,
+    last: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Attempt {
+    host: usize,
+    sent: f64,
+    out: bool,
+    never_ran: bool,
+    begun: bool, // its answer is being streamed to the client
+}
+
+#[derive(Clone, Debug)]
+struct Request {
+    class: usize,
+    key: Option<u64>,
+    work: f64,     // expected work, relative to the mean request
+    worth_by: f64, // after this nothing can be earned
+    turn: f64, // when it may first be sent for its key's sake; without end while an earlier one has the turn
+    open: bool,
+    attempts: Vec<Attempt>,
+}
+
+impl Request {
+    fn out(&self) -> usize {
+        self.attempts.iter().filter(|a| a.out).count()
+    }
+}
+
+/// The requests of one key that run one at a time, as taken: the first one has the turn, from `rested` on.
+#[derive(Clone, Debug, Default)]
+struct Turns {
+    queue: VecDeque<u64>,
+    rested: f64,
+}
+
+/// Events per second, as an average that fades.
+#[derive(Clone, Debug, Default)]
+struct Rate {
+    count: f64,
+    per_s: f64,
+}
+
+impl Rate {
+    fn fold(&mut self, dt: f64, gain: f64) {
+        self.per_s += gain * (std::mem::take(&mut self.count) / dt - self.per_s);
+    }
+}
+
+/// What lasts of a raised E so long after the last sample: a shunned host gets none to undo it, so it is
+/// tried again after a while, later with each failure in a row.
+fn lasting(quiet: f64, longest_aim: f64, failures: i32) -> f64 {
+    let rest = quiet / (RETEST * longest_aim * 2f64.powi(failures.min(4)));
+    1.0 / (1.0 + rest * rest)
+}
+
+/// Lets a mean follow its samples; the first one sets it.
+fn follow(mean: &mut f64, y: f64) {
+    *mean += if *mean > 0.0 { SPREAD_GAIN * (y - *mean) } else { y };
+}
+
+/// What this gateway has measured of its own traffic.
+#[derive(Clone, Debug, Default)]
+struct Traffic {
+    served: Rate, // requests let in that were served in time, and those that ended unserved
+    lost: Rate,
+    late: f64,    // how much of LATE is lost, at most 1
+    warm: Rate,   // served by one warm host
+    out: f64,     // requests with an attempt out
+    latency: f64, // mean latency of all requests and of each class, mean hint and mean worth
+    class_latency: Vec<f64>,
+    hint: f64,
+    worth: f64,
+}
+
+/// The decisions of one gateway: feed it events, carry out the actions.
+#[derive(Clone, Debug)]
+pub struct Balancer {
+    set: Settings,
+    aims: (f64, f64), // the shortest and the longest aim, in seconds
+    rng: fastrand::Rng,
+    hosts: Vec<Host>,
+    ready: Vec<usize>,
+    mean: f64, // mean E of the ready hosts, each as if of mean size, and of those of each machine kind
+    kinds: FxHashMap<u32, f64>,
+    requests: FxHashMap<u64, Request>,
+    turns: FxHashMap<u64, Turns>,
+    traffic: Traffic,
+    spare: f64, // retries and second copies that may be made now
+    upkept: f64,
+    age: f64,     // seconds since the first event
+    asking: bool, // discovery: an answer is awaited; calls failed in a row, below 0 before the first list
+    asks_failed: i32,
+    closing: bool, // A timer for closing on drains is set
+}
+
+impl Balancer {
+    /// A gateway's decisions, from its settings and a seed of its own.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let aims = settings.classes.iter().map(|c| c.aim.as_secs_f64());
+        let aims = (aims.clone().fold(f64::INFINITY, f64::min), aims.fold(0.0, f64::max));
+        Balancer {
+            aims,
+            mean: FIRST_E * aims.0,
+            traffic: Traffic { class_latency: vec![0.0; settings.classes.len()], ..Traffic::default() },
+            set: settings,
+            rng: fastrand::Rng::with_seed(seed),
+            hosts: Vec::new(),
+            ready: Vec::new(),
+            kinds: FxHashMap::default(),
+            requests: FxHashMap::default(),
+            turns: FxHashMap::default(),
+            spare: 1.0,
+            upkept: f64::NEG_INFINITY,
+            age: 0.0,
+            asking: false,
+            asks_failed: -1,
+            closing: false,
+        }
+    }
+
+    /// Takes an event at `now` and appends what is to be done.
+    pub fn handle(&mut self, now: Duration, event: Event<'_>, actions: &mut Vec<Action>) {
+        let now = now.as_secs_f64();
+        if now - self.upkept >= UPKEEP_S {
+            self.upkeep(now);
+        }
+        match event {
+            Event::Hosts { full, hosts } => self.learn(now, full, hosts, actions),
+            Event::DiscoveryFailed => self.ask_later(actions),
+            Event::Request(r) => self.arrive(now, &r, actions),
+            Event::Started { request, attempt, latency } => self.with(now, request, actions, |me, req, _| {
+                if let Some(a) = req.attempts.get_mut(attempt as usize) {
+                    (req.open, a.begun) = (false, true);
+                    me.observe(now, a.host, latency.as_secs_f64() / req.work);
+                }
+            }),
+            Event::Outcome { request, attempt, latency, outcome, over } => {
+                self.with(now, request, actions, |me, req, actions| {
+                    req.open &= !over;
+                    me.settle(now, req, attempt, outcome, latency.as_secs_f64(), actions);
+                    if req.open && req.out() == 0 {
+                        me.advance(now, request, req, actions);
+                    }
+                })
+            }
+            Event::Abandoned { request } => self.with(now, request, actions, |_, req, _| req.open = false),
+            Event::Timer { token: ASK } => {
+                self.asking = true;
+                actions.push(Action::Subscribe);
+            }
+            Event::Timer { token: CLOSE } => {
+                self.closing = false;
+                self.close_draining(actions);
+            }
+            Event::Timer { token } => self.with(now, RequestId(token), actions, |me, req, actions| {
+                if req.open {
+                    me.advance(now, RequestId(token), req, actions);
+                }
+            }),
+            Event::Probed { .. } => {}
+        }
+    }
+
+    /// Runs `f` on a known request, and those of its key whose turn comes by that.
+    fn with(&mut self, now: f64, id: RequestId, actions: Out, f: impl FnOnce(&mut Self, &mut Request, Out)) {
+        let mut done = self.step(id, actions, f);
+        while let Some(next) = done.and_then(|key| self.next_turn(key)) {
+            let id = RequestId(next);
+            done = self.step(id, actions, |me, req, actions| me.advance(now, id, req, actions));
+        }
+    }
+
+    /// Runs `f` on a known request. Once that is over, what is out of it is called off; when the last outcome
+    /// has come it is forgotten, and its key returned if it took turns.
+    fn step(
+        &mut self,
+        id: RequestId,
+        actions: Out,
+        f: impl FnOnce(&mut Self, &mut Request, Out),
+    ) -> Option<u64> {
+        let mut req = self.requests.remove(&id.0)?;
+        let open = req.open;
+        f(self, &mut req, actions);
+        if open && !req.open && self.set.may_cancel {
+            let out = (0u32..).zip(&req.attempts).filter(|(_, a)| a.out && !a.begun);
+            actions.extend(out.map(|(attempt, _)| Action::Cancel { request: id, attempt }));
+        }
+        if req.open || req.out() > 0 {
+            self.requests.insert(id.0, req);
+            return None;
+        }
+        req.key.filter(|_| self.set.classes[req.class].sequential)
+    }
+
+    /// Gives the turn at a key to its first request that is not over; that one, if it had to wait until now.
+    /// Each request leaves the queue once, so a long one costs no more per event.
+    fn next_turn(&mut self, key: u64) -> Option<u64> {
+        let turns = self.turns.get_mut(&key)?;
+        while let Some(&id) = turns.queue.front() {
+            if let Some(req) = self.requests.get_mut(&id) {
+                let waited = req.turn == f64::INFINITY;
+                req.turn = req.turn.min(turns.rested);
+                return waited.then_some(id);
+            }
+            turns.queue.pop_front();
+        }
+        None
+    }
+
+    /// Idle connections to draining hosts are closed at once, and again while the drain lasts: one that an
+    /// attempt called off still holds turns idle unseen.
+    fn close_draining(&mut self, actions: Out) {
+        let Some(within) = self.set.release_within else { return };
+        let (before, draining) = (actions.len(), |h: &&Host| h.entry.state == HostState::Draining);
+        actions.extend(self.hosts.iter().filter(draining).map(|h| Action::Close { host: h.entry.id }));
+        if actions.len() > before && !std::mem::replace(&mut self.closing, true) {
+            actions.push(wake(within.as_secs_f64() / 3.0, CLOSE));
+        }
+    }
+
+    fn learn(&mut self, now: f64, full: bool, list: &[api::Host], actions: Out) {
+        if self.asks_failed < 0 {
+            self.ask_later(actions); // first list: spread the gateways' first calls
+        } else if std::mem::take(&mut self.asking) {
+            self.asks_failed = 0;
+        }
+        self.hosts.iter_mut().filter(|_| full).for_each(|h| h.entry.state = HostState::Removed);
+        for entry in list.iter().filter(|e| e.id.0 < HostId::LIMIT) {
+            let i = entry.id.0 as usize;
+            let unknown = || Host { started: f64::NEG_INFINITY, size: 1.0, ..Host::default() };
+            self.hosts.resize_with(self.hosts.len().max(i + 1), unknown);
+            let h = &mut self.hosts[i];
+            let started = entry.started.map_or(f64::NEG_INFINITY, |t| t.as_secs_f64());
+            if started > h.started {
+                // A new or restarted process: nothing learnt before holds. Its first send as a cold host
+                // falls at a random place, or every gateway's first would arrive together.
+                let out = std::mem::take(&mut h.out);
+                *h = Host { started, out, tokens: self.rng.f64(), size: 1.0, ..Host::default() };
+            }
+            h.entry = entry.clone();
+        }
+        self.close_draining(actions);
+        self.ready = (0..self.hosts.len()).filter(|&i| self.hosts[i].entry.state == HostState::Up).collect();
+        let weights: f64 = self.ready.iter().map(|&i| self.hosts[i].entry.weight).sum();
+        for &i in self.ready.iter().filter(|_| self.set.weights == Weights::Size && weights > 0.0) {
+            let h = &mut self.hosts[i];
+            h.size = (h.entry.weight * self.ready.len() as f64 / weights).clamp(0.1, 10.0);
+        }
+        self.upkeep(now);
+    }
+
+    fn ask_later(&mut self, actions: Out) {
+        let Some(within) = self.set.ask_within else { return };
+        let most = within.as_secs_f64() * (0.1 * 2f64.powi(self.asks_failed.clamp(1, 3) + 1)).min(0.8);
+        (self.asks_failed, self.asking) = (self.asks_failed + 1, false);
+        actions.push(wake(most * self.rng.f64(), ASK));
+    }
+
+    /// How much of its full work a host can do at least, from its start.
+    fn warmth(&self, now: f64, h: &Host) -> f64 {
+        let part = (now - h.started) / self.set.cold_for.as_secs_f64().max(1e-3);
+        (self.set.cold_from + (1.0 - self.set.cold_from) * part).clamp(0.01, 1.0)
+    }
+
+    /// What a host not heard from is taken for: the mean of its kind, or of all, scaled by its size.
+    fn prior(&self, h: &Host) -> f64 {
+        self.kinds.get(&h.entry.kind).unwrap_or(&self.mean) / h.size
+    }
+
+    fn upkeep(&mut self, now: f64) {
+        let dt = if self.upkept.is_finite() { (now - self.upkept).min(1.0) } else { 0.0 };
+        (self.upkept, self.age) = (now, self.age + dt);
+        let gain = |rate_s: f64| (1.0 - (-dt / rate_s).exp()).max(dt / self.age); // at first the plain mean
+        let (mut warm, mut sum, mut heard) = (0.0, 0.0, 0.0);
+        let mut kinds: FxHashMap<u32, (f64, f64)> = FxHashMap::default();
+        for &i in &self.ready {
+            let (warmth, prior) = (self.warmth(now, &self.hosts[i]), self.prior(&self.hosts[i]));
+            let h = &mut self.hosts[i];
+            h.e = prior / warmth;
+            h.tokens = (h.tokens + dt * COLD_SHARE * warmth * self.traffic.warm.per_s).min(1.0);
+            if warmth >= 1.0 {
+                (warm, h.tokens) = (warm + 1.0, f64::INFINITY);
+            }
+            if h.detector.samples > 0 {
+                h.e = h.detector.estimate();
+                let excess = (h.e - prior).max(0.0);
+                h.e -= excess * (1.0 - lasting(now - h.heard, self.aims.1, h.failures));
+                (sum, heard) = (sum + h.e * h.size, heard + 1.0);
+                let kind = kinds.entry(h.entry.kind).or_default();
+                *kind = (kind.0 + h.e * h.size, kind.1 + 1.0);
+            }
+        }
+        self.mean = if heard > 0.0 { sum / heard } else { self.mean };
+        self.kinds.extend(kinds.into_iter().map(|(kind, (sum, heard))| (kind, sum / heard)));
+        self.turns.retain(|_, t| !t.queue.is_empty() || t.rested > now);
+        if dt > 0.0 {
+            let t = &mut self.traffic;
+            let long = (RATE_S / 2.0).max(ENOUGH / (t.served.per_s + t.lost.per_s).max(0.1));
+            t.served.fold(dt, gain(long));
+            t.lost.fold(dt, gain(long));
+            t.late = (t.lost.per_s / (t.lost.per_s + t.served.per_s).max(1e-9) / LATE).min(1.0);
+            if warm > 0.0 {
+                t.warm.count /= warm;
+                t.warm.fold(dt, gain(RATE_S));
+            }
+        }
+    }
+
+    fn observe(&mut self, now: f64, host: usize, y: f64) {
+        self.mean = if self.traffic.latency > 0.0 { self.mean } else { y * self.hosts[host].size };
+        let prior = self.prior(&self.hosts[host]);
+        let h = &mut self.hosts[host];
+        if h.detector.samples == 0 {
+            h.detector = Cusum::new(prior);
+        }
+        h.detector.add(y);
+        (h.e, h.heard) = (h.detector.estimate(), now);
+    }
+
+    fn arrive(&mut self, now: f64, r: &api::Request, actions: Out) {
+        if self.requests.contains_key(&r.id.0) {
+            return;
+        }
+        let Some(class) = self.set.classes.get(r.class) else {
+            return actions.push(Action::Refuse { request: r.id, keep_away: Duration::ZERO });
+        };
+        let t = &mut self.traffic;
+        let hint = r.cost_hint.map_or(0.0, |h| h.as_secs_f64());
+        let own = t.class_latency[r.class] / t.latency; // no number before anything was served
+        let mut work = if own > 0.0 { own } else { 1.0 };
+        if hint > 0.0 {
+            follow(&mut t.hint, hint);
+            work = 0.5 + 0.5 * hint / t.hint;
+        }
+        let work = work.clamp(0.25, 4.0);
+        let give_up = r.give_up_at.as_secs_f64();
+        let aim = class.aim.as_secs_f64() + class.aim_stretch * hint - self.set.tick.as_secs_f64();
+        let worth_by = if class.late_worth > 0.0 { give_up } else { give_up.min(now + aim) };
+        // Little's law on own in-flight: what is out must still be served within its aim. What is worth least
+        // goes first, but not by far: a day is also judged by its worst-served class.
+        follow(&mut t.worth, class.worth);
+        let fits = t.served.per_s * self.aims.0 * (1.0 - (1.0 - TIGHT) * t.late);
+        let slack = SLACK * self.ready.len() as f64 / f64::from(self.set.gateways.max(1));
+        if t.out > (fits + CHANCE * fits.sqrt() + slack) * (class.worth / t.worth).powf(0.25) {
+            return actions.push(Action::Refuse { request: r.id, keep_away: self.set.max_keep_away });
+        }
+        self.spare = (self.spare + COPY_SHARE).min(1.0);
+        let mut turn = f64::NEG_INFINITY;
+        if let Some(key) = r.key.filter(|_| class.sequential) {
+            let turns = self.turns.entry(key).or_default();
+            turn = if turns.queue.is_empty() { turns.rested } else { f64::INFINITY };
+            turns.queue.push_back(r.id.0);
+        }
+        let (class, key, attempts) = (r.class, r.key, Vec::new());
+        self.requests.insert(r.id.0, Request { class, key, work, worth_by, turn, open: true, attempts });
+        self.with(now, r.id, actions, |me, req, actions| me.advance(now, r.id, req, actions));
+    }
+
+    /// The next step of an open request: a send, where nothing is out also a hold or the end.
+    fn advance(&mut self, now: f64, id: RequestId, req: &mut Request, actions: Out) {
+        let (idle, again) = (req.out() == 0, !req.attempts.is_empty());
+        let go = self.may_go_on(req) && (!again || self.spare >= 1.0);
+        if idle && (now >= req.worth_by || !go) {
+            return self.end(id, req, actions);
+        }
+        match (go && now >= req.turn).then(|| self.pick(now, req)).flatten() {
+            // A second copy only goes where it is likely to be in time.
+            Some(host) if idle || now + self.hosts[host].e * req.work < req.worth_by => {
+                self.spare -= f64::from(u8::from(again));
+                self.send(now, id, req, host, actions);
+            }
+            None if idle => {
+                let hold = if now < req.turn { req.turn - now } else { HOLD_S };
+                actions.push(wake(hold.min(req.worth_by - now), id.0));
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether any attempt may still be made, by limits and effect; where to is for [`Self::may_send`].
+    fn may_go_on(&self, req: &Request) -> bool {
+        let unsafe_ = matches!(self.set.classes[req.class].effect, Effect::Unsafe);
+        (req.attempts.len() as u32) < self.set.max_attempts
+            && req.out() <= usize::from(self.set.second_copies)
+            && !(unsafe_ && req.attempts.iter().any(|a| !a.never_ran))
+    }
+
+    /// The gate of every send to a host.
+    fn may_send(&self, now: f64, req: &Request, host: usize) -> bool {
+        let h = &self.hosts[host];
+        let dropped = |a: &Attempt| match self.set.classes[req.class].effect {
+            Effect::Keyed { group, window } => {
+                now < a.sent + window.as_secs_f64() && group.joins(&self.hosts[a.host].entry, &h.entry)
+            }
+            _ => true,
+        };
+        now >= req.turn
+            && h.tokens >= 1.0
+            && req.attempts.iter().all(|a| a.host != host && (a.never_ran || dropped(a)))
+    }
+
+    /// The ready host with the lowest (in-flight + 1) x E among those that may be sent to.
+    fn pick(&mut self, now: f64, req: &Request) -> Option<usize> {
+        let (mut best, mut own) = ((f64::INFINITY, None), [(0, f64::INFINITY, 0); 2]);
+        let aim = self.set.classes[req.class].aim.as_secs_f64();
+        let crossing = CROSSING * self.set.cross_zone_price * (1.0 - SPILL * self.traffic.late);
+        let start = self.rng.usize(0..=self.ready.len()); // of equals the first wins
+        for &i in self.ready[start..].iter().chain(&self.ready[..start]) {
+            let h = &self.hosts[i];
+            // An attempt overdue is a sample of at least its age: silence must not look like speed.
+            let mut e = h.out.first().map_or(h.e, |sent| h.e.max(now - sent));
+            // Where this class alone fails, each failure in a row costs an aim, and fades as a raised E does.
+            let ill = h.ill.get(req.class).copied().unwrap_or_default();
+            e += f64::from(ill.count) * aim * lasting(now - ill.last, self.aims.1, ill.count);
+            let away = if h.entry.zone == self.set.zone { 1.0 } else { 1.0 + crossing };
+            let score = (h.out.len() as f64 + 1.0) * e * away;
+            let score = if self.may_send(now, req, i) { score } else { f64::INFINITY };
+            if let Some(key) = req.key.filter(|_| self.set.warm_keys) {
+                let rank = api::mix(key ^ h.entry.hash);
+                if rank > own[0].0 {
+                    own = [(rank, score, i), own[0]];
+                } else if rank > own[1].0 {
+                    own[1] = (rank, score, i);
+                }
+            }
+            if score < best.0 {
+                best = (score, Some(i));
+            }
+        }
+        // The key's own two hosts come first, unless they are crowded or ill.
+        match own.iter().min_by(|a, b| a.1.total_cmp(&b.1)) {
+            Some(&(_, score, host)) if score < CROWDED * best.0 => Some(host),
+            _ => best.1,
+        }
+    }
+
+    fn send(&mut self, now: f64, id: RequestId, req: &mut Request, host: usize, actions: Out) {
+        let h = &mut self.hosts[host];
+        h.out.push(now);
+        self.traffic.out += f64::from(u8::from(req.out() == 0));
+        h.tokens -= 1.0;
+        // Never a copy on no evidence.
+        let e = if self.traffic.latency > 0.0 { h.e * req.work } else { req.worth_by - now };
+        let look = (COPY_AT * e).max(self.set.tick.as_secs_f64());
+        req.attempts.push(Attempt { host, sent: now, out: true, never_ran: false, begun: false });
+        let (host, until) = (HostId(host as u32), Duration::from_secs_f64(req.worth_by));
+        actions.push(Action::Send { request: id, host, until });
+        if self.may_go_on(req) && now + look < req.worth_by {
+            actions.push(wake(look, id.0));
+        }
+    }
+
+    /// Books the end of an attempt: what it proves of the request and what it tells of the host.
+    fn settle(&mut self, now: f64, req: &mut Request, n: u32, how: Outcome, y: f64, actions: Out) {
+        let (work, class) = (req.work, req.class);
+        let Some(a) = req.attempts.get_mut(n as usize).filter(|a| a.out) else { return };
+        (a.out, a.never_ran) = (false, how.never_ran());
+        let (host, sent) = (a.host, a.sent);
+        self.traffic.out -= f64::from(u8::from(req.out() == 0));
+        let (h, t) = (&mut self.hosts[host], &mut self.traffic);
+        if let Some(at) = h.out.iter().position(|&t| t == sent) {
+            h.out.remove(at);
+        }
+        if h.entry.state == HostState::Draining && self.set.release_within.is_some() {
+            actions.push(Action::Close { host: h.entry.id });
+        }
+        // What may still be running keeps its key at rest.
+        let rests = matches!(how, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
+        if let Some(key) = req.key.filter(|_| rests && self.set.classes[class].sequential) {
+            self.turns.entry(key).or_default().rested = now + self.set.key_rest.as_secs_f64();
+        }
+        h.ill.resize(self.set.classes.len(), Ill::default());
+        match how {
+            Outcome::Served => {
+                (h.failures, h.served) = (0, now);
+                h.ill[class] = Ill { served: now, ..Ill::default() };
+                t.served.count += f64::from(u8::from(now <= req.worth_by));
+                t.warm.count += f64::from(u8::from(h.tokens.is_infinite()));
+                follow(&mut t.class_latency[class], y);
+                self.observe(now, host, y / work);
+                follow(&mut self.traffic.latency, y);
+            }
+            Outcome::Cancelled if y / work > h.e => self.observe(now, host, y / work),
+            Outcome::Cancelled | Outcome::NotSent => {}
+            _ => {
+                let ill = &mut h.ill[class];
+                // A host that has served others since this class began to fail is not to blame as a whole.
+                if h.served > ill.served && !how.never_ran() {
+                    return (ill.count, ill.last) = (ill.count + 1, now);
+                }
+                h.failures += 1;
+                self.observe(now, host, self.set.classes[class].aim.as_secs_f64().max(y));
+            }
+        }
+    }
+
+    /// The one way to end a request: refused where that is true, failed otherwise.
+    fn end(&mut self, id: RequestId, req: &mut Request, actions: Out) {
+        let harmless = match self.set.classes[req.class].effect {
+            Effect::Safe | Effect::Keyed { group: api::Group::All, .. } => true,
+            _ => req.attempts.iter().all(|a| a.never_ran),
+        };
+        req.open = false;
+        self.traffic.lost.count += 1.0;
+        actions.push(if harmless {
+            Action::Refuse { request: id, keep_away: self.set.max_keep_away }
+        } else {
+            Action::Fail { request: id }
+        });
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,28 @@
+//! The decisions of an HTTP load balancer run as a bank of gateways, without any I/O.
+//!
+//! A gateway owns the sockets and the clock. It tells its [`Balancer`] what happens as [`Event`]s and carries
+//! out the [`Action`]s that come back: where each request goes, when it is tried again, refused or failed.
+//! Nothing is shared between instances; every gateway keeps the rules on its own.
+//!
+//! ```
+//! use ottervane::{Action, Balancer, Class, Event, Host, HostId, Request, RequestId, Settings};
+//! use std::time::Duration;
+//!
+//! let mut settings = Settings::default();
+//! settings.classes.push(Class::new(Duration::from_millis(200), Duration::from_secs(1)));
+//! let mut balancer = Balancer::new(settings, 7);
+//! let mut actions = Vec::new();
+//!
+//! let hosts = [Host::new(HostId(0), "10.0.0.1:80"), Host::new(HostId(1), "10.0.0.2:80")];
+//! balancer.handle(Duration::ZERO, Event::Hosts { full: true, hosts: &hosts }, &mut actions);
+//! let request = Request::new(RequestId(1), 0, Duration::from_secs(1));
+//! balancer.handle(Duration::from_millis(5), Event::Request(request), &mut actions);
+//! assert!(actions.iter().any(|a| matches!(a, Action::Send { request: RequestId(1), .. })));
+//! ```
+
+pub mod api;
+pub mod balancer;
+pub mod wire;
+
+pub use api::*;
+pub use balancer::Balancer;
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,462 @@
+//! The simulator's wire: one JSON batch a line in, one JSON reply a line out. Translation only, no decision.
+
+use crate::api::{
+    stable_hash, Action, Class, Effect, Event, Group, Host, HostId, HostState, Outcome, Request, RequestId,
+    Settings, Weights,
+};
+use crate::balancer::Balancer;
+use rustc_hash::FxHashMap;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use std::borrow::Cow;
+use std::fmt::Write as _;
+use std::time::Duration;
+
+/// What is wrong with a line of input, and where.
+#[derive(Debug, thiserror::Error)]
+pub enum WireError {
+    /// Not a batch.
+    #[error("input line {line}: not a batch: {source}")]
+    Malformed {
+        /// The line, counted from 1.
+        line: u64,
+        /// What the parser says.
+        source: serde_json::Error,
+    },
+    /// A batch with something in it that cannot be.
+    #[error("batch {batch}: {what}")]
+    Bad {
+        /// The batch's number.
+        batch: u64,
+        /// What.
+        what: String,
+    },
+}
+
+#[derive(Deserialize)]
+struct Batch<'a> {
+    ts_s: f64,
+    serial: u64,
+    #[serde(borrow)]
+    events: Vec<RawEvent<'a>>,
+}
+
+/// All fields of all events: read in one pass, absent ones left out.
+#[derive(Deserialize)]
+struct RawEvent<'a> {
+    #[serde(borrow, rename = "type")]
+    kind: Cow<'a, str>,
+    gateway: Option<u64>,
+    #[serde(borrow, rename = "ref")]
+    request: Option<Cow<'a, str>>,
+    #[serde(borrow)]
+    host: Option<Cow<'a, str>>,
+    #[serde(borrow)]
+    how: Option<Cow<'a, str>>,
+    #[serde(borrow)]
+    mode: Option<Cow<'a, str>>,
+    #[serde(borrow)]
+    item: Option<Cow<'a, str>>,
+    #[serde(borrow)]
+    profile_data: Option<&'a RawValue>,
+    #[serde(borrow)]
+    elements: Option<Vec<RawHost<'a>>>,
+    random_seed: Option<u64>,
+    roster_id: Option<u64>,
+    category: Option<usize>,
+    state_bits: Option<u64>,
+    size_hint_s: Option<f64>,
+    billing: Option<usize>,
+    not_after_s: Option<f64>,
+    copy: Option<u32>,
+    delay_seen_s: Option<f64>,
+    no_more: Option<bool>,
+    label: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct RawHost<'a> {
+    #[serde(borrow)]
+    host: Cow<'a, str>,
+    az: Option<u32>,
+    cohort: Option<u32>,
+    #[serde(borrow)]
+    status: Option<Cow<'a, str>>,
+    launched_s: Option<f64>,
+    hw: Option<u32>,
+    scale: Option<f64>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct RawSettings {
+    accounts: Vec<RawTenant>,
+    classes: Vec<RawClass>,
+    costs: FxHashMap<String, f64>,
+    discovery: String,
+    family_info: RawFamily,
+    fleet_size: u32,
+    locality: u32,
+    over_share_worth: f64,
+    policy_limits: RawLimits,
+    quantum_s: f64,
+    safety: RawRules,
+    weight_source: String,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct RawTenant {
+    quota_per_s: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct RawFamily {
+    warm_keys: bool,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct RawClass {
+    promise_s: f64,
+    aim_stretch: f64,
+    deadline_s: f64,
+    effect: String,
+    group: String,
+    dedup_window_s: f64,
+    importance: f64,
+    late_worth: f64,
+    sequential: bool,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct RawLimits {
+    try_limit: u32,
+    may_cancel: bool,
+    second_copies: bool,
+    probes: bool,
+    retry_after: bool,
+    max_retry_after_s: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct RawRules {
+    ask_within_s: f64,
+    cold_from: f64,
+    cold_s: f64,
+    overload_factor: f64,
+    fall_s: f64,
+    key_rest_s: f64,
+    release_within_s: Option<f64>,
+}
+
+/// Seconds on the wire as a [`Duration`], to the microsecond; anything that is no such time is 0.
+fn time(s: f64) -> Duration {
+    Duration::from_micros((s * 1e6).round().clamp(0.0, 1e15) as u64)
+}
+
+fn settings(raw: RawSettings) -> Settings {
+    let class = |c: RawClass| Class {
+        aim: time(c.promise_s),
+        aim_stretch: c.aim_stretch,
+        deadline: time(c.deadline_s),
+        worth: c.importance,
+        late_worth: c.late_worth,
+        sequential: c.sequential,
+        effect: match (c.effect.as_str(), c.group.as_str()) {
+            ("free", _) => Effect::Safe,
+            ("guarded", "all") => Effect::Keyed { group: Group::All, window: time(c.dedup_window_s) },
+            ("guarded", "zone") => Effect::Keyed { group: Group::Zone, window: time(c.dedup_window_s) },
+            ("guarded", "cell") => Effect::Keyed { group: Group::Cell, window: time(c.dedup_window_s) },
+            _ => Effect::Unsafe,
+        },
+    };
+    Settings {
+        gateways: raw.fleet_size.max(1),
+        zone: raw.locality,
+        classes: raw.classes.into_iter().map(class).collect(),
+        quotas: raw.accounts.iter().map(|t| t.quota_per_s).collect(),
+        over_quota_worth: raw.over_share_worth,
+        ask_within: (raw.discovery == "ask").then(|| time(raw.safety.ask_within_s)),
+        tick: time(raw.quantum_s),
+        max_attempts: raw.policy_limits.try_limit,
+        may_cancel: raw.policy_limits.may_cancel,
+        second_copies: raw.policy_limits.second_copies,
+        probes: raw.policy_limits.probes,
+        max_keep_away: time(raw.policy_limits.max_retry_after_s)
+            .mul_f64(f64::from(raw.policy_limits.retry_after)),
+        cold_from: raw.safety.cold_from,
+        cold_for: time(raw.safety.cold_s),
+        overload_factor: raw.safety.overload_factor,
+        overload_for: time(raw.safety.fall_s),
+        key_rest: time(raw.safety.key_rest_s),
+        release_within: raw.safety.release_within_s.map(time),
+        cross_zone_price: raw.costs.get("cross_zone").copied().unwrap_or(0.0),
+        warm_keys: raw.family_info.warm_keys,
+        weights: match raw.weight_source.as_str() {
+            "nominal" | "rough" => Weights::Size,
+            "live" => Weights::Live,
+            _ => Weights::Off,
+        },
+    }
+}
+
+fn outcome(word: &str) -> Option<Outcome> {
+    Some(match word {
+        "GOOD" => Outcome::Served,
+        "BAD" => Outcome::Error,
+        "FULL" => Outcome::Rejected,
+        "LATE" => Outcome::TimedOut,
+        "NOCONN" => Outcome::NoConnection,
+        "RST" => Outcome::Reset,
+        "CXL" => Outcome::Cancelled,
+        "NOP" => Outcome::NotSent,
+        _ => return None,
+    })
+}
+
+/// A request as the wire names it, and what of it is still awaited.
+struct Named {
+    text: Box<str>,
+    out: u32,
+    over: bool,
+}
+
+/// One gateway: its decisions, and the names of its hosts and requests.
+struct Instance {
+    balancer: Balancer,
+    hosts: FxHashMap<Box<str>, HostId>,
+    host_texts: Vec<String>,
+    requests: FxHashMap<Box<str>, u64>,
+    request_texts: FxHashMap<u64, Named>,
+    last_request: u64,
+}
+
+impl Instance {
+    fn host(&mut self, name: &str) -> HostId {
+        if let Some(&id) = self.hosts.get(name) {
+            return id;
+        }
+        let id = HostId(self.host_texts.len() as u32);
+        self.hosts.insert(name.into(), id);
+        self.host_texts.push(serde_json::Value::from(name).to_string());
+        id
+    }
+
+    fn forget_if_done(&mut self, id: u64) {
+        if let Some(named) = self.request_texts.get(&id).filter(|n| n.over && n.out == 0) {
+            self.requests.remove(&named.text);
+            self.request_texts.remove(&id);
+        }
+    }
+
+    /// Appends an action in the dialect; hosts and requests it names are known here.
+    fn write(&mut self, gateway: u64, action: &Action, now: Duration, reply: &mut String) {
+        let mut put = |name: &str, request: Option<&RequestId>, host: Option<&HostId>| {
+            reply.push_str(if reply.ends_with('[') { "" } else { "," });
+            let _ = write!(reply, r#"{{"type":"{name}","gateway":{gateway}"#);
+            if let Some(named) = request.and_then(|r| self.request_texts.get(&r.0)) {
+                let text = serde_json::Value::from(&*named.text);
+                let _ = write!(reply, r#","ref":{text}"#);
+            }
+            if let Some(text) = host.and_then(|h| self.host_texts.get(h.0 as usize)) {
+                let _ = write!(reply, r#","host":{text}"#);
+            }
+        };
+        match action {
+            Action::Send { request, host, until } => {
+                put("Dispatch", Some(request), Some(host));
+                let _ = write!(reply, r#","until_s":{:.6}"#, until.max(&now).as_secs_f64());
+                self.request_texts.entry(request.0).and_modify(|n| n.out += 1);
+            }
+            Action::Cancel { request, attempt } => {
+                put("DropAttempt", Some(request), None);
+                let _ = write!(reply, r#","copy":{attempt}"#);
+            }
+            Action::Refuse { request, .. } | Action::Fail { request } => {
+                let name = if matches!(action, Action::Fail { .. }) { "ReportFailure" } else { "Busy" };
+                put(name, Some(request), None);
+                if let Action::Refuse { keep_away, .. } = action {
+                    if !keep_away.is_zero() {
+                        let _ = write!(reply, r#","not_before_for_s":{:.6}"#, keep_away.as_secs_f64());
+                    }
+                }
+                self.request_texts.entry(request.0).and_modify(|n| n.over = true);
+                self.forget_if_done(request.0);
+            }
+            Action::Wake { after, token } => {
+                put("WakeMe", None, None);
+                let _ = write!(reply, r#","delay_s":{:.6},"label":{token}"#, after.as_secs_f64());
+            }
+            Action::Probe { host } => put("Check", None, Some(host)),
+            Action::Close { host } => put("Disconnect", None, Some(host)),
+            Action::Subscribe => {
+                put("StreamChanges", None, None);
+                reply.push_str(r#","on":true"#);
+            }
+        }
+        reply.push('}');
+    }
+}
+
+/// All instances of this process, by the number that the wire gives them.
+#[derive(Default)]
+pub struct Adapter {
+    instances: FxHashMap<u64, Instance>,
+    lists: FxHashMap<u64, Vec<ListEntry>>,
+    actions: Vec<Action>,
+    lines: u64,
+}
+
+struct ListEntry {
+    name: String,
+    host: Host,
+}
+
+impl Adapter {
+    /// Answers one line of input with one line of output, without its end.
+    pub fn answer(&mut self, line: &str) -> Result<String, WireError> {
+        self.lines += 1;
+        let batch: Batch<'_> =
+            serde_json::from_str(line).map_err(|source| WireError::Malformed { line: self.lines, source })?;
+        let mut reply = format!(r#"{{"serial":{},"cmds":["#, batch.serial);
+        for event in batch.events {
+            self.event(time(batch.ts_s), event, &mut reply)
+                .map_err(|what| WireError::Bad { batch: batch.serial, what })?;
+        }
+        reply.push_str("]}");
+        Ok(reply)
+    }
+
+    fn event(&mut self, now: Duration, e: RawEvent<'_>, reply: &mut String) -> Result<(), String> {
+        let kind = &*e.kind;
+        let lacks = |field: &str| format!("{kind} without {field}");
+        if kind == "Inventory" {
+            let entries = e.elements.ok_or_else(|| lacks("elements"))?;
+            let entries = entries.into_iter().map(list_entry).collect();
+            self.lists.insert(e.roster_id.ok_or_else(|| lacks("roster_id"))?, entries);
+            return Ok(());
+        }
+        let gateway = e.gateway.ok_or_else(|| lacks("gateway"))?;
+        if kind == "Launch" {
+            let info = e.profile_data.ok_or_else(|| lacks("profile_data"))?;
+            let raw = serde_json::from_str(info.get()).map_err(|err| format!("settings: {err}"))?;
+            let settings = settings(raw);
+            let seed = e.random_seed.ok_or_else(|| lacks("random_seed"))?;
+            let instance = Instance {
+                balancer: Balancer::new(settings, seed),
+                hosts: FxHashMap::default(),
+                host_texts: Vec::new(),
+                requests: FxHashMap::default(),
+                request_texts: FxHashMap::default(),
+                last_request: 0,
+            };
+            self.instances.insert(gateway, instance);
+            return Ok(());
+        }
+        let inst = self
+            .instances
+            .get_mut(&gateway)
+            .ok_or_else(|| format!("{kind} for unknown instance {gateway}"))?;
+        let latency = time(e.delay_seen_s.unwrap_or(0.0));
+        let how = || {
+            let word = e.how.as_deref().ok_or_else(|| lacks("how"))?;
+            outcome(word).ok_or_else(|| format!("{kind} with unknown outcome {word:?}"))
+        };
+        let known = e.request.as_deref().and_then(|r| inst.requests.get(r).copied()).map(RequestId);
+        let mut done = None;
+        let mut hosts: Vec<Host> = Vec::new();
+        let event = match kind {
+            "BackendsChanged" => match e.mode.as_deref() {
+                Some("broken") => Event::DiscoveryFailed,
+                Some(mode @ ("patch" | "whole" | "stale_copy")) => {
+                    let number = e.roster_id.ok_or_else(|| lacks("roster_id"))?;
+                    let list = self.lists.get(&number).ok_or_else(|| format!("unknown list {number}"))?;
+                    hosts.extend(list.iter().map(|l| Host { id: inst.host(&l.name), ..l.host.clone() }));
+                    Event::Hosts { full: mode != "patch", hosts: &hosts }
+                }
+                other => return Err(format!("{kind} with unknown mode {other:?}")),
+            },
+            "Incoming" => {
+                let text = e.request.as_deref().ok_or_else(|| lacks("ref"))?;
+                inst.last_request += 1;
+                let id = inst.last_request;
+                inst.requests.insert(text.into(), id);
+                inst.request_texts.insert(id, Named { text: text.into(), out: 0, over: false });
+                let bits = e.state_bits.unwrap_or(0);
+                Event::Request(Request {
+                    id: RequestId(id),
+                    class: e.category.ok_or_else(|| lacks("category"))?,
+                    tenant: e.billing.unwrap_or(0),
+                    key: e.item.as_deref().map(stable_hash),
+                    cost_hint: e.size_hint_s.filter(|_| bits & 1 != 0).map(time),
+                    repeat: bits & 2 != 0,
+                    give_up_at: time(e.not_after_s.ok_or_else(|| lacks("not_after_s"))?),
+                })
+            }
+            "Begun" => {
+                let Some(request) = known else { return Ok(()) };
+                Event::Started { request, attempt: e.copy.unwrap_or(0), latency }
+            }
+            "Result" => {
+                let outcome = how()?;
+                let Some(request) = known else { return Ok(()) };
+                let over = e.no_more.unwrap_or(false);
+                if let Some(named) = inst.request_texts.get_mut(&request.0) {
+                    named.out = named.out.saturating_sub(1);
+                    named.over |= over;
+                }
+                done = Some(request.0);
+                let attempt = e.copy.unwrap_or(0);
+                Event::Outcome { request, attempt, latency, outcome, over }
+            }
+            "Lapsed" => {
+                let Some(request) = known else { return Ok(()) };
+                inst.request_texts.entry(request.0).and_modify(|n| n.over = true);
+                done = Some(request.0);
+                Event::Abandoned { request }
+            }
+            "Reminder" => Event::Timer { token: e.label.ok_or_else(|| lacks("label"))? },
+            "PingResult" => {
+                let host = inst.host(e.host.as_deref().ok_or_else(|| lacks("host"))?);
+                Event::Probed { host, outcome: how()?, latency }
+            }
+            "Inbox" => return Ok(()),
+            "Exit" => {
+                self.instances.remove(&gateway);
+                return Ok(());
+            }
+            _ => return Err(format!("unknown event {kind:?}")),
+        };
+        self.actions.clear();
+        inst.balancer.handle(now, event, &mut self.actions);
+        for action in &self.actions {
+            inst.write(gateway, action, now, reply);
+        }
+        if let Some(id) = done {
+            inst.forget_if_done(id);
+        }
+        Ok(())
+    }
+}
+
+fn list_entry(raw: RawHost<'_>) -> ListEntry {
+    let state = match raw.status.as_deref() {
+        Some("draining") => HostState::Draining,
+        Some("removed") => HostState::Removed,
+        _ => HostState::Up,
+    };
+    let host = Host {
+        state,
+        zone: raw.az.unwrap_or(0),
+        cell: raw.cohort.unwrap_or(0),
+        started: raw.launched_s.filter(|&s| s > 0.0).map(time),
+        kind: raw.hw.unwrap_or(0),
+        weight: raw.scale.unwrap_or(1.0),
+        ..Host::new(HostId(0), &raw.host)
+    };
+    ListEntry { name: raw.host.into_owned(), host }
+}
--- /dev/null
+++ b/tests/behaviour.rs
@@ -0,0 +1,346 @@
+//! What the pick, the second copies and the admission do, one situation each.
+
+mod common;
+
+use common::{host, settings};
+use ottervane::*;
+use std::time::Duration;
+
+struct Bench {
+    b: Balancer,
+    now: Duration,
+    id: u64,
+    last: Vec<Action>,
+}
+
+impl Bench {
+    fn new(settings: Settings, hosts: u32) -> Self {
+        Bench::seeded(settings, hosts, 1)
+    }
+
+    fn seeded(settings: Settings, hosts: u32, seed: u64) -> Self {
+        let mut bench =
+            Bench { b: Balancer::new(settings, seed), now: Duration::from_secs(5), id: 0, last: vec![] };
+        let list: Vec<Host> = (0..hosts).map(|i| Host { zone: 0, ..host(i, None) }).collect();
+        bench.give(Event::Hosts { full: true, hosts: &list });
+        bench
+    }
+
+    fn give(&mut self, event: Event<'_>) {
+        self.last.clear();
+        self.b.handle(self.now, event, &mut self.last);
+    }
+
+    /// A new request; the host it was sent to, if any.
+    fn request(&mut self, class: usize, key: Option<u64>) -> Option<u32> {
+        self.id += 1;
+        let mut r = Request::new(RequestId(self.id), class, self.now + Duration::from_secs(1));
+        r.key = key;
+        self.give(Event::Request(r));
+        self.sent_to()
+    }
+
+    fn sent_to(&self) -> Option<u32> {
+        self.last.iter().find_map(|a| if let Action::Send { host, .. } = a { Some(host.0) } else { None })
+    }
+
+    fn outcome(&mut self, id: u64, attempt: u32, latency: Duration, outcome: Outcome) {
+        let over = outcome == Outcome::Served;
+        let request = RequestId(id);
+        self.give(Event::Outcome { request, attempt, latency, outcome, over });
+    }
+
+    /// `n` requests one after another, each host taking its own time.
+    fn serve(&mut self, n: u32, ms: impl Fn(u32) -> u64) -> Vec<u32> {
+        let mut counts = vec![0; 64];
+        for _ in 0..n {
+            let host = self.request(0, None).expect("a host is ready");
+            counts[host as usize] += 1;
+            let took = Duration::from_millis(ms(host));
+            self.now += took;
+            self.outcome(self.id, 0, took, Outcome::Served);
+        }
+        counts
+    }
+}
+
+#[test]
+fn the_lowest_in_flight_times_e_is_picked() {
+    let mut bench = Bench::new(Settings { gateways: 1, ..settings() }, 2);
+    bench.serve(40, |h| if h == 0 { 10 } else { 25 });
+    // E is near 10 and 25 ms: two go to host 0 (10, 20 against 25), the third to host 1 (30 against 25).
+    let picks: Vec<_> = (0..3).map(|_| bench.request(0, None).unwrap()).collect();
+    assert_eq!(picks, [0, 0, 1]);
+}
+
+#[test]
+fn a_host_that_fails_fast_does_not_attract_work() {
+    let mut bench = Bench::new(Settings { second_copies: false, ..settings() }, 6);
+    bench.serve(60, |_| 20);
+    let mut to_bad = 0;
+    for _ in 0..200 {
+        let host = bench.request(0, None).expect("sent");
+        let (id, took) = (bench.id, Duration::from_millis(if host == 0 { 1 } else { 20 }));
+        bench.now += took;
+        to_bad += u32::from(host == 0);
+        bench.outcome(id, 0, took, if host == 0 { Outcome::Error } else { Outcome::Served });
+        if host == 0 {
+            assert!(matches!(bench.sent_to(), Some(other) if other != 0), "tried again elsewhere");
+            bench.now += Duration::from_millis(20);
+            bench.outcome(id, 1, Duration::from_millis(20), Outcome::Served);
+        }
+    }
+    assert!(to_bad < 12, "{to_bad} of 200 went to the failing host");
+}
+
+/// Guards against a hung host that looks idle: it yields no sample until a time-out.
+#[test]
+fn silence_does_not_look_like_speed() {
+    let mut bench = Bench::new(settings(), 4);
+    bench.serve(60, |_| 20);
+    let silent = bench.request(4, None).unwrap();
+    bench.now += Duration::from_millis(150);
+    let counts = bench.serve(30, |_| 20);
+    assert_eq!(counts[silent as usize], 0);
+}
+
+#[test]
+fn a_slow_attempt_gets_a_second_copy_where_the_class_allows_and_the_loser_is_called_off() {
+    let mut bench = Bench::new(settings(), 4);
+    bench.serve(40, |_| 20);
+    let first = bench.request(0, None).unwrap();
+    let id = bench.id;
+    let wake =
+        bench.last.iter().find_map(|a| if let Action::Wake { after, .. } = a { Some(*after) } else { None });
+    bench.now += wake.expect("a look is planned");
+    bench.give(Event::Timer { token: id });
+    let second = bench.sent_to().expect("a second copy");
+    assert_ne!(first, second);
+    bench.now += Duration::from_millis(20);
+    bench.outcome(id, 1, Duration::from_millis(20), Outcome::Served);
+    assert_eq!(bench.last, [Action::Cancel { request: RequestId(id), attempt: 0 }]);
+    bench.request(4, None);
+    assert!(!bench.last.iter().any(|a| matches!(a, Action::Wake { .. })), "none for what must not run twice");
+}
+
+#[test]
+fn a_key_goes_to_its_own_hosts_at_every_gateway_and_leaves_them_when_they_are_ill() {
+    let warm = Settings { warm_keys: true, second_copies: false, ..settings() };
+    let (mut a, mut b) = (Bench::new(warm.clone(), 12), Bench::seeded(warm, 12, 99));
+    let mut own = std::collections::BTreeSet::new();
+    for bench in [&mut a, &mut b] {
+        bench.serve(30, |_| 20);
+        for _ in 0..10 {
+            own.insert(bench.request(0, Some(1234)).unwrap());
+            bench.now += Duration::from_millis(20);
+            bench.outcome(bench.id, 0, Duration::from_millis(20), Outcome::Served);
+        }
+    }
+    assert!(own.len() <= 2, "two hosts for a key: {own:?}");
+    for _ in 0..4 {
+        let host = a.request(4, Some(1234)).unwrap();
+        a.now += Duration::from_millis(1);
+        a.outcome(a.id, 0, Duration::from_millis(1), Outcome::Error);
+        if !own.contains(&host) {
+            return;
+        }
+    }
+    panic!("the key stayed with hosts that fail");
+}
+
+/// Guards against a start that sends small hosts as much as large ones, before anything is known of either.
+#[test]
+fn before_anything_is_heard_sends_follow_size_where_weights_tell_it() {
+    for (weights, range) in [(Weights::Size, 7..9), (Weights::Off, 2..7)] {
+        let mut bench = Bench::new(Settings { weights, gateways: 1, ..settings() }, 0);
+        let host = |i| Host { zone: 0, weight: if i < 4 { 3.0 } else { 1.0 }, ..host(i, None) };
+        let list: Vec<Host> = (0..8).map(host).collect();
+        bench.give(Event::Hosts { full: true, hosts: &list });
+        let large = (0..8).filter(|_| bench.request(0, None).is_some_and(|h| h < 4)).count();
+        assert!(
+            range.contains(&large),
+            "{weights:?}: {large} of 8 went to the half with three times the size"
+        );
+    }
+}
+
+/// Guards against a large fleet seen seldom: what one host of a machine kind shows holds for those not yet heard.
+#[test]
+fn a_host_not_heard_from_is_taken_for_its_kind() {
+    let mut bench = Bench::new(Settings { second_copies: false, gateways: 1, ..settings() }, 0);
+    let host = |i| Host { zone: 0, kind: i % 2, ..host(i, None) };
+    let (first, all): (Vec<Host>, Vec<Host>) = ((0..2).map(host).collect(), (0..12).map(host).collect());
+    bench.give(Event::Hosts { full: true, hosts: &first });
+    bench.request(0, None);
+    bench.request(0, None);
+    bench.now += Duration::from_millis(10);
+    for id in [1, 2] {
+        let quick = Duration::from_millis(10);
+        bench.outcome(id, 0, quick, Outcome::Served);
+    }
+    bench.serve(40, |h| if h % 2 == 0 { 60 } else { 10 });
+    bench.give(Event::Hosts { full: true, hosts: &all });
+    let quick = (0..5).filter(|_| bench.request(0, None).is_some_and(|h| h % 2 == 1)).count();
+    assert_eq!(quick, 5, "new hosts of the quick kind first");
+}
+
+/// Guards against blaming a host for all when it fails one class only: that class leaves, the others stay.
+#[test]
+fn a_host_that_fails_one_class_keeps_the_others() {
+    let mut bench = Bench::new(Settings { second_copies: false, gateways: 1, ..settings() }, 6);
+    let ms = Duration::from_millis;
+    let mut ill = [0, 0]; // sends to host 0 in the second half, of the class that it fails and of the other
+    for round in 0..100 {
+        let sent =
+            [4, 0, 0, 4, 0, 0].map(|class| (class, bench.request(class, None).expect("sent"), bench.id));
+        bench.now += ms(20);
+        for (class, host, id) in sent {
+            let fails = host == 0 && class == 4;
+            bench.outcome(id, 0, ms(20), if fails { Outcome::Error } else { Outcome::Served });
+            ill[usize::from(class == 0)] += u32::from(round >= 50 && host == 0);
+        }
+    }
+    assert!(ill[0] <= 10 && ill[1] >= 30, "{ill:?} of 100 and 200 went to the host that fails one class");
+}
+
+/// Guards against crossings that cost more than they earn, and against a zone that keeps its trouble to itself.
+#[test]
+fn a_zone_keeps_its_requests_until_they_end_unserved_and_then_spills_over() {
+    let set = Settings { second_copies: false, cross_zone_price: 0.05, gateways: 1, ..settings() };
+    let mut bench = Bench::new(set, 0);
+    let host = |i| Host { zone: i % 2, ..host(i, None) };
+    let list: Vec<Host> = (0..8).map(host).collect();
+    let away: Vec<Host> = list.iter().filter(|h| h.zone == 1).cloned().collect();
+    bench.give(Event::Hosts { full: true, hosts: &away });
+    bench.serve(100, |_| 20);
+    bench.give(Event::Hosts { full: true, hosts: &list });
+    bench.serve(100, |h| if h % 2 == 0 { 40 } else { 20 });
+    let quiet = bench.serve(50, |h| if h % 2 == 0 { 40 } else { 20 });
+    assert_eq!(quiet.iter().skip(1).step_by(2).sum::<u32>(), 0, "twice as slow, but at home");
+    // Requests end unserved, and it says nothing of any host: E stays.
+    for _ in 0..60 {
+        bench.request(0, None);
+        let mut attempt = 0;
+        while bench.sent_to().is_some() {
+            bench.now += Duration::from_millis(10);
+            bench.outcome(bench.id, attempt, Duration::from_millis(10), Outcome::NotSent);
+            attempt += 1;
+        }
+    }
+    let away = (0..4).filter(|_| bench.request(0, None).is_some_and(|h| h % 2 == 1)).count();
+    assert!(away >= 2, "{away} of 4 went to the other zone");
+}
+
+/// Guards against copies that feed an overload: where nothing is answered, few go out, none from savings.
+#[test]
+fn second_copies_are_a_small_part_of_first_tries() {
+    let mut bench = Bench::new(settings(), 10);
+    bench.serve(100, |_| 20);
+    let mut copies = 0;
+    for _ in 0..30 {
+        bench.request(0, None);
+        bench.now += Duration::from_millis(60);
+        for id in 101..=bench.id {
+            bench.give(Event::Timer { token: id });
+            copies += u32::from(bench.sent_to().is_some());
+        }
+    }
+    assert!((1..=4).contains(&copies), "{copies} copies for 30 first tries");
+}
+
+/// Guards against the collapse seen on overloaded days: hosts full of work that nobody waits for any more.
+#[test]
+fn what_cannot_be_served_in_time_is_refused_at_once() {
+    let mut bench = Bench::new(settings(), 2);
+    for _ in 0..2000 {
+        bench.serve(1, |_| 10);
+    }
+    let sent = (0..200).filter(|_| bench.request(0, None).is_some()).count();
+    assert!((3..80).contains(&sent), "{sent} of 200 at once were let in");
+    assert!(
+        matches!(bench.last[0], Action::Refuse { keep_away, .. } if keep_away.is_zero()),
+        "none heed advice"
+    );
+}
+
+/// Guards against clients that come back at once to gateways that have just refused them.
+#[test]
+fn who_is_refused_at_capacity_is_asked_to_stay_away_where_clients_heed_it() {
+    let max_keep_away = Duration::from_secs(2);
+    let mut bench = Bench::new(Settings { max_keep_away, ..settings() }, 2);
+    (0..200).for_each(|_| _ = bench.request(0, None));
+    assert_eq!(bench.last, [Action::Refuse { request: RequestId(bench.id), keep_away: max_keep_away }]);
+}
+
+/// Guards against issue 6: a start that let everything in overdrove every host for the rest of the day.
+#[test]
+fn a_start_is_not_without_a_bound_before_the_first_answers() {
+    let mut bench = Bench::new(settings(), 12);
+    let sent = (0..200).filter(|_| bench.request(0, None).is_some()).count();
+    assert!((3..8).contains(&sent), "{sent} of 200 at once were sent to 12 hosts by one of 4 gateways");
+    // Nothing was answered within an aim: fewer still.
+    bench.now += Duration::from_millis(250);
+    bench.give(Event::Timer { token: 999_999 });
+    bench.now += Duration::from_millis(250);
+    assert_eq!(bench.request(0, None), None);
+}
+
+#[test]
+fn nonsense_is_passed_over_or_refused_and_never_panics() {
+    let mut bench = Bench::new(Settings::default(), 0);
+    assert_eq!(bench.request(0, None), None);
+    assert!(matches!(bench.last[..], [Action::Refuse { .. }]), "a class that the settings do not have");
+    bench.outcome(77, 3, Duration::ZERO, Outcome::Served);
+    bench.give(Event::Timer { token: 12345 });
+    bench.give(Event::Abandoned { request: RequestId(9) });
+    bench.give(Event::Probed { host: HostId(70), outcome: Outcome::Served, latency: Duration::ZERO });
+    bench.give(Event::Hosts { full: false, hosts: &[Host::new(HostId(u32::MAX), "far")] });
+    assert!(bench.last.is_empty());
+
+    let odd = Settings {
+        gateways: 0,
+        cold_from: 0.0,
+        cold_for: Duration::ZERO,
+        max_attempts: 0,
+        classes: vec![Class { worth: 0.0, ..Class::new(Duration::ZERO, Duration::ZERO) }],
+        ..Settings::default()
+    };
+    let mut bench = Bench::new(odd, 3);
+    bench.give(Event::Hosts { full: true, hosts: &[host(1, Some(Duration::from_secs(5)))] });
+    for _ in 0..20 {
+        bench.request(0, None); // the clock stands still
+        assert!(bench.last.iter().any(|a| matches!(a, Action::Refuse { .. } | Action::Send { .. })));
+    }
+}
+
+#[test]
+fn discovery_is_asked_soon_after_the_start_and_again_with_growing_waits_inside_the_limit() {
+    let within = Duration::from_secs(10);
+    let mut firsts = std::collections::BTreeSet::new();
+    for seed in 0..20 {
+        let mut bench = Bench::new(Settings { ask_within: Some(within), ..settings() }, 0);
+        bench.b = Balancer::new(Settings { ask_within: Some(within), ..settings() }, seed);
+        bench.give(Event::Hosts { full: true, hosts: &[] });
+        for failure in 0..8 {
+            let Some(Action::Wake { after, token }) = bench.last.first().cloned() else {
+                panic!("asks later")
+            };
+            assert!(after < within, "seed {seed}, failure {failure}: {after:?}");
+            firsts.extend((failure == 0).then_some(after));
+            bench.now += after;
+            bench.give(Event::Timer { token });
+            assert_eq!(bench.last, [Action::Subscribe]);
+            bench.give(Event::DiscoveryFailed);
+        }
+    }
+    assert!(firsts.len() == 20, "spread over the instances");
+}
+
+#[path = "../examples/by_hand.rs"]
+#[allow(dead_code)]
+mod by_hand;
+
+#[test]
+fn the_example_runs() {
+    by_hand::main();
+}
