--- /dev/null
+++ b/src/bin/ottervane-gateway/clients.rs
@@ -0,0 +1,352 @@
+//! The HTTP server side: takes requests in, has them decided, writes the answers.
+
+use crate::config::Names;
+use crate::gateway::{Arrival, Final, Handle, Message};
+use crate::hosts::{strip_hop_by_hop, Forward, MAX_BODY, MAX_BUFFER};
+use crate::sockets::{Budget, Slot, Slots};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use ottervane::{stable_hash, Class, Effect, RequestId};
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{oneshot, Notify};
+use tokio::task::spawn_local;
+use tokio::time::{timeout_at, Instant};
+
+/// A client that sends no head for so long, or keeps a connection idle for so long, loses it.
+const IDLE: Duration = Duration::from_secs(75);
+/// The answer leaves so long before the client gives up: the way here and back, and a busy machine.
+const AHEAD: Duration = Duration::from_millis(15);
+
+/// What is wrong with a request, so that it goes no further.
+#[derive(Debug, thiserror::Error)]
+enum Malformed {
+    #[error("X-Request-ID is missing")]
+    NoId,
+    #[error("X-Priority-Class names no class")]
+    UnknownClass,
+    #[error("the path is not that of the class")]
+    WrongPath,
+    #[error("the method is not that of the class")]
+    WrongMethod,
+    #[error("Idempotency-Key does not go with the class")]
+    WrongKey,
+    #[error("X-Timeout is no time to wait")]
+    BadTimeout,
+    #[error("X-Cost is no amount of work")]
+    BadCost,
+    #[error("the body is too long")]
+    TooLong,
+    #[error("the body has not come whole")]
+    NoBody,
+}
+
+impl Malformed {
+    fn status(&self) -> StatusCode {
+        match self {
+            Malformed::WrongMethod => StatusCode::METHOD_NOT_ALLOWED,
+            Malformed::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Malformed::NoBody => StatusCode::REQUEST_TIMEOUT,
+            _ => StatusCode::BAD_REQUEST,
+        }
+    }
+}
+
+/// A connection from a client, as far as the others may know.
+#[derive(Debug, Default)]
+struct Peer {
+    idle_since: Cell<Option<Instant>>,
+    close: Notify,
+}
+
+/// The server.
+pub struct Server {
+    gateway: Handle,
+    names: Rc<Names>,
+    classes: Vec<Class>,
+    clients: Slots,
+    overflow: Slots,
+    peers: RefCell<Vec<Rc<Peer>>>,
+    left: Notify,
+    accepted: Cell<Instant>,
+    stopping: Cell<bool>,
+}
+
+/// A request that has been told to the gateway: if the client goes, so does this, and the gateway hears of it.
+struct Owed {
+    gateway: Handle,
+    id: RequestId,
+    open: Rc<Cell<bool>>,
+}
+
+impl Drop for Owed {
+    fn drop(&mut self) {
+        // An answered request is closed already. The cell is cleared first: an attempt about to be written sees it.
+        if self.open.replace(false) {
+            self.gateway.tell(Message::Gone(self.id));
+        }
+    }
+}
+
+impl Server {
+    /// A server that takes requests in for the gateway.
+    pub fn new(gateway: Handle, names: Rc<Names>, classes: Vec<Class>, budget: &Budget) -> Server {
+        Server {
+            gateway,
+            names,
+            classes,
+            clients: budget.clients.clone(),
+            overflow: budget.overflow.clone(),
+            peers: RefCell::default(),
+            left: Notify::new(),
+            accepted: Cell::new(Instant::now()),
+            stopping: Cell::new(false),
+        }
+    }
+
+    /// Accepts connections for as long as it runs. What waits in the kernel is taken already, so it never waits
+    /// for anything but a connection or, with every last descriptor in use, the end of one.
+    pub async fn accept(self: Rc<Self>, listener: &TcpListener) {
+        loop {
+            let slot = self.clients.take().or_else(|| {
+                self.close_idle();
+                self.overflow.take()
+            });
+            let Some(slot) = slot else {
+                self.left.notified().await;
+                continue;
+            };
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    eprintln!("accept: {error}");
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                    continue;
+                }
+            };
+            self.welcome(stream, slot);
+        }
+    }
+
+    /// Accepts what still waits in the kernel, and closes the listener: what is left in it then was not taken.
+    pub fn accept_rest(self: &Rc<Self>, listener: TcpListener) -> std::io::Result<()> {
+        let listener = listener.into_std()?;
+        while let Some(slot) = self.clients.take().or_else(|| self.overflow.take()) {
+            let Ok((stream, _)) = listener.accept() else { break };
+            stream.set_nonblocking(true)?;
+            self.welcome(TcpStream::from_std(stream)?, slot);
+        }
+        Ok(())
+    }
+
+    fn welcome(self: &Rc<Self>, stream: TcpStream, slot: Slot) {
+        self.accepted.set(Instant::now());
+        let peer = Rc::new(Peer::default());
+        peer.idle_since.set(Some(Instant::now()));
+        self.peers.borrow_mut().push(peer.clone());
+        spawn_local(self.clone().serve(stream, peer, slot));
+    }
+
+    /// Has the connection closed that has been idle for longest.
+    fn close_idle(&self) {
+        let peers = self.peers.borrow();
+        let idle = peers.iter().filter(|p| p.idle_since.get().is_some());
+        if let Some(peer) = idle.min_by_key(|p| p.idle_since.get()) {
+            peer.idle_since.set(None);
+            peer.close.notify_one();
+        }
+    }
+
+    async fn serve(self: Rc<Self>, stream: TcpStream, peer: Rc<Peer>, slot: Slot) {
+        let _ = stream.set_nodelay(true);
+        let _leaving = Leaving { server: self.clone(), peer: peer.clone(), _slot: slot };
+        let service = service_fn(|request| {
+            let (server, peer) = (self.clone(), peer.clone());
+            async move {
+                peer.idle_since.set(None);
+                let mut response = server.answer(request).await;
+                if server.stopping.get() {
+                    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+                }
+                peer.idle_since.set(Some(Instant::now()));
+                Ok::<_, Infallible>(response)
+            }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(IDLE)
+            .max_buf_size(MAX_BUFFER)
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::pin!(connection);
+        tokio::select! {
+            biased;
+            _ = connection.as_mut() => return,
+            () = peer.close.notified() => {}
+        }
+        // What is being answered is still answered; hyper closes after that, or now where nothing is.
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await; // an error here is the client's doing, and its going was told
+    }
+
+    /// Says goodbye with each answer from now on; done once no new connection has come for `quiet`.
+    pub async fn stop(&self, quiet: Duration) {
+        self.stopping.set(true);
+        self.accepted.set(Instant::now());
+        while self.accepted.get().elapsed() < quiet {
+            tokio::time::sleep_until(self.accepted.get() + quiet).await;
+        }
+    }
+
+    /// Closes each connection as soon as it owes no answer, and waits for the last one.
+    pub async fn finish(&self) {
+        loop {
+            self.peers.borrow().iter().for_each(|p| p.close.notify_one());
+            if self.peers.borrow().is_empty() {
+                return;
+            }
+            self.left.notified().await;
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let read = Instant::now();
+        if request.uri().path() == "/health/ready" {
+            let ready = self.gateway.hosts_up() && !self.stopping.get();
+            return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
+        }
+        match self.take(request, read).await {
+            Ok(answer) => self.respond(answer),
+            Err(malformed) => plain(malformed.status(), &format!("{malformed}\n")),
+        }
+    }
+
+    fn respond(&self, answer: Final) -> Response<Full<Bytes>> {
+        match answer {
+            Final::Served(answer) => {
+                let mut response = Response::new(Full::new(answer.body));
+                *response.headers_mut() = answer.headers;
+                response
+            }
+            Final::Refused { keep_away } => {
+                let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "try again later\n");
+                if let Ok(after) = HeaderValue::from_str(&keep_away.as_secs_f64().to_string()) {
+                    response.headers_mut().insert(header::RETRY_AFTER, after);
+                }
+                response
+            }
+            Final::Failed(status) => plain(status, "failed\n"),
+        }
+    }
+
+    /// Has a request decided. The answer comes from the gateway, whatever becomes of the hosts.
+    async fn take(&self, request: Request<Incoming>, read: Instant) -> Result<Final, Malformed> {
+        let (mut head, body) = request.into_parts();
+        let headers = &head.headers;
+        if text(headers, "x-request-id").is_none_or(str::is_empty) {
+            return Err(Malformed::NoId);
+        }
+        let name = text(headers, "x-priority-class").ok_or(Malformed::UnknownClass)?;
+        let place = self.names.classes.iter().position(|c| c == name).ok_or(Malformed::UnknownClass)?;
+        let class = self.classes.get(place).ok_or(Malformed::UnknownClass)?;
+        if head.uri.path().split('/').nth(1) != Some(name) {
+            return Err(Malformed::WrongPath);
+        }
+        let keyed = text(headers, "idempotency-key").is_some_and(|k| !k.is_empty());
+        let (method, wants_key) = match class.effect {
+            Effect::Safe => (Method::GET, false),
+            Effect::Keyed { .. } => (Method::POST, true),
+            Effect::Unsafe => (Method::POST, false),
+        };
+        if head.method != method {
+            return Err(Malformed::WrongMethod);
+        }
+        if keyed != wants_key {
+            return Err(Malformed::WrongKey);
+        }
+        let patience = text(headers, "x-timeout").and_then(patience).ok_or(Malformed::BadTimeout)?;
+        let give_up = read + patience.min(class.deadline).saturating_sub(AHEAD);
+        let cost = match text(headers, "x-cost") {
+            Some(cost) => Some(Duration::from_micros(cost.trim().parse().map_err(|_| Malformed::BadCost)?)),
+            None => None,
+        };
+        let tenant = text(headers, "x-tenant-id");
+        let tenant = self.names.tenants.iter().position(|t| Some(t.as_str()) == tenant).unwrap_or(0);
+        let (id, open) = (self.gateway.next_request(), Rc::new(Cell::new(true)));
+        let request = ottervane::Request {
+            id,
+            class: place,
+            tenant,
+            key: subject(headers).map(stable_hash),
+            cost_hint: cost,
+            repeat: text(headers, "x-retried") == Some("1"),
+            give_up_at: self.gateway.time(give_up),
+        };
+        let body = match timeout_at(give_up, Limited::new(body, MAX_BODY).collect()).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(error)) if error.is::<hyper::Error>() => return Err(Malformed::NoBody),
+            Ok(Err(_)) => return Err(Malformed::TooLong),
+            Err(_) => return Err(Malformed::NoBody),
+        };
+        strip_hop_by_hop(&mut head.headers);
+        let forward = Forward { method: head.method, uri: head.uri, headers: head.headers, body };
+        let (answer, decided) = oneshot::channel();
+        let owed = Owed { gateway: self.gateway.clone(), id, open: open.clone() };
+        self.gateway.tell(Message::Arrived(Box::new(Arrival { request, forward, answer, open })));
+        let decided = decided.await;
+        owed.open.set(false);
+        Ok(decided.unwrap_or(Final::Failed(StatusCode::BAD_GATEWAY)))
+    }
+}
+
+/// Takes a connection off the server's books, however its task ends.
+struct Leaving {
+    server: Rc<Server>,
+    peer: Rc<Peer>,
+    _slot: Slot,
+}
+
+impl Drop for Leaving {
+    fn drop(&mut self) {
+        self.server.peers.borrow_mut().retain(|p| !Rc::ptr_eq(p, &self.peer));
+        self.server.left.notify_one();
+    }
+}
+
+fn plain(status: StatusCode, text: &str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::copy_from_slice(text.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// What the request is about: the cookie `k`.
+fn subject(headers: &HeaderMap) -> Option<&str> {
+    let cookies = headers.get_all(header::COOKIE).iter().filter_map(|v| v.to_str().ok());
+    cookies.flat_map(|v| v.split(';')).find_map(|pair| pair.trim().strip_prefix("k="))
+}
+
+/// How long a client waits: a number and a unit, `m` for milliseconds or `u` for microseconds.
+fn patience(text: &str) -> Option<Duration> {
+    let text = text.trim();
+    let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
+    let unit = match unit {
+        "m" => 1e-3,
+        "u" => 1e-6,
+        _ => return None,
+    };
+    let plain = number.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    let seconds = number.parse::<f64>().ok().filter(|_| plain)? * unit;
+    Duration::try_from_secs_f64(seconds).ok().filter(|t| !t.is_zero())
+}
--- /dev/null
+++ b/src/bin/ottervane-gateway/config.rs
@@ -0,0 +1,204 @@
+//! What the gateway is told at its start: the file that `ROUTER_CONFIG` names, and the variables beside it.
+
+use crate::discovery::List;
+use ottervane::wire::parse_settings;
+use ottervane::{stable_hash, Settings};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use std::env;
+use std::fs;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The fewest descriptors that leave room for clients and hosts beside the program's own.
+const LEAST_SOCKETS: usize = 48;
+
+/// Why the gateway cannot start.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// The variable that names the file is missing.
+    #[error("ROUTER_CONFIG is not set")]
+    NotSet,
+    /// The file cannot be read.
+    #[error("cannot read {path}: {source}")]
+    Unreadable {
+        /// The file.
+        path: String,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// The file is not what it should be.
+    #[error("{path}: {source}")]
+    Malformed {
+        /// The file.
+        path: String,
+        /// What the parser says.
+        source: serde_json::Error,
+    },
+    /// An address that is none.
+    #[error("{name}: {value:?} is not an address and a port")]
+    Address {
+        /// The key or variable.
+        name: &'static str,
+        /// Its value.
+        value: String,
+    },
+    /// Settings with which no request can be served.
+    #[error("{0}")]
+    Unusable(String),
+}
+
+#[derive(Deserialize)]
+struct RawConfig {
+    listen: String,
+    discovery: String,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    #[serde(default)]
+    known: List,
+    settings: Box<RawValue>,
+}
+
+/// The limits that the platform sets this process.
+#[derive(Deserialize)]
+#[serde(default)]
+pub struct Limits {
+    /// Memory, in MB.
+    pub memory_mb: usize,
+    /// Descriptors.
+    pub sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { memory_mb: 192, sockets: 1024 }
+    }
+}
+
+/// A name in the settings, by whose place a request or host refers to it.
+#[derive(Deserialize)]
+struct Named {
+    name: String,
+}
+
+/// What the settings hold for the sockets alone, beside what the module reads.
+#[derive(Deserialize)]
+#[serde(default)]
+struct RawNames {
+    classes: Vec<Named>,
+    accounts: Vec<Named>,
+    azs: Vec<String>,
+    flavors: Vec<String>,
+    policy_limits: RawLimits,
+}
+
+impl Default for RawNames {
+    fn default() -> Self {
+        let (classes, accounts, azs, flavors) = Default::default();
+        RawNames { classes, accounts, azs, flavors, policy_limits: RawLimits::default() }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct RawLimits {
+    dial_timeout_s: f64,
+    keepalive_s: f64,
+}
+
+impl Default for RawLimits {
+    fn default() -> Self {
+        RawLimits { dial_timeout_s: 1.0, keepalive_s: 10.0 }
+    }
+}
+
+/// The names in the settings; a place in these lists is what the module knows.
+#[derive(Debug)]
+pub struct Names {
+    /// The request classes.
+    pub classes: Vec<String>,
+    /// The tenants.
+    pub tenants: Vec<String>,
+    /// The zones.
+    pub zones: Vec<String>,
+    /// The machine kinds.
+    pub kinds: Vec<String>,
+}
+
+/// All that the gateway is told.
+pub struct Config {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// The seed of the decisions.
+    pub seed: u64,
+    /// What the process may use.
+    pub limits: Limits,
+    /// The hosts as last known.
+    pub known: List,
+    /// The module's settings.
+    pub settings: Settings,
+    /// The names behind the settings' numbers.
+    pub names: Names,
+    /// A connection to a host that is not up by then will not come up.
+    pub dial_timeout: Duration,
+    /// Hosts close a connection that has been idle for so long.
+    pub keepalive: Duration,
+}
+
+impl Config {
+    /// Reads the configuration that the environment names.
+    pub fn from_env() -> Result<Config, ConfigError> {
+        let path = env::var("ROUTER_CONFIG").map_err(|_| ConfigError::NotSet)?;
+        let text = fs::read_to_string(&path)
+            .map_err(|source| ConfigError::Unreadable { path: path.clone(), source })?;
+        Config::parse(&path, &text)
+    }
+
+    fn parse(path: &str, text: &str) -> Result<Config, ConfigError> {
+        let malformed = |source| ConfigError::Malformed { path: path.to_owned(), source };
+        let raw: RawConfig = serde_json::from_str(text).map_err(malformed)?;
+        let settings = parse_settings(raw.settings.get()).map_err(malformed)?;
+        let names: RawNames = serde_json::from_str(raw.settings.get()).map_err(malformed)?;
+        if names.classes.is_empty() {
+            return Err(ConfigError::Unusable(format!("{path}: the settings name no request class")));
+        }
+        if raw.limits.sockets < LEAST_SOCKETS {
+            let few = format!("{path}: {} descriptors, at least {LEAST_SOCKETS} needed", raw.limits.sockets);
+            return Err(ConfigError::Unusable(few));
+        }
+        let plain = |list: Vec<Named>| list.into_iter().map(|n| n.name).collect();
+        Ok(Config {
+            listen: address("listen", "ROUTER_LISTEN", raw.listen)?,
+            discovery: address("discovery", "ROUTER_DISCOVERY", raw.discovery)?,
+            seed: stable_hash(&raw.seed),
+            limits: raw.limits,
+            known: raw.known,
+            settings,
+            dial_timeout: seconds("dial_timeout_s", names.policy_limits.dial_timeout_s)?,
+            keepalive: seconds("keepalive_s", names.policy_limits.keepalive_s)?,
+            names: Names {
+                classes: plain(names.classes),
+                tenants: plain(names.accounts),
+                zones: names.azs,
+                kinds: names.flavors,
+            },
+        })
+    }
+}
+
+fn seconds(name: &str, value: f64) -> Result<Duration, ConfigError> {
+    match Duration::try_from_secs_f64(value) {
+        Ok(time) if !time.is_zero() => Ok(time),
+        _ => Err(ConfigError::Unusable(format!("{name}: {value} is not a time"))),
+    }
+}
+
+/// The address that the variable gives, or else the file.
+fn address(key: &'static str, variable: &'static str, from_file: String) -> Result<SocketAddr, ConfigError> {
+    let (name, value) = env::var(variable).map_or((key, from_file), |v| (variable, v));
+    value.parse().map_err(|_| ConfigError::Address { name, value })
+}
--- /dev/null
+++ b/src/bin/ottervane-gateway/discovery.rs
@@ -0,0 +1,171 @@
+//! Discovery: the list of hosts as it is written, and the watch on its changes.
+
+use crate::gateway::{Handle, Message};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::client::conn::http1;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// A call may wait its turn for so long before its first line comes.
+const FIRST_LINE: Duration = Duration::from_secs(4);
+/// An empty line comes every 2 s on a live watch; without any for so long it is dead.
+const SILENCE: Duration = Duration::from_millis(3200);
+/// A line that is longer than this is none.
+const LONGEST_LINE: usize = 4 << 20;
+
+/// A list of hosts, or the changes since the one before.
+#[derive(Debug, Default, Deserialize)]
+pub struct List {
+    /// Its version.
+    #[serde(default)]
+    pub index: u64,
+    /// Whether it is whole: a host that it lacks is gone.
+    #[serde(default)]
+    pub snapshot: bool,
+    /// The hosts.
+    #[serde(default)]
+    pub endpoints: Vec<Endpoint>,
+}
+
+/// A host as discovery lists it.
+#[derive(Debug, Deserialize)]
+pub struct Endpoint {
+    /// Its lasting name.
+    pub name: String,
+    /// Where it listens, as seen from here; one that has left may have none.
+    #[serde(default)]
+    pub address: String,
+    /// Its zone's name.
+    #[serde(default)]
+    pub zone: String,
+    /// Its machine kind's name.
+    #[serde(default, rename = "type")]
+    pub kind: String,
+    /// Its cell.
+    #[serde(default)]
+    pub group: u32,
+    /// Its state.
+    #[serde(default)]
+    pub status: Status,
+    /// Its weight.
+    #[serde(default = "one")]
+    pub weight: f64,
+    /// When it last started, in Unix milliseconds; 0 for long ago.
+    #[serde(default)]
+    pub since_ms: u64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// The state of a host.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum Status {
+    /// Takes work.
+    #[default]
+    Active,
+    /// Finishes what it has.
+    Leaving,
+    /// Gone.
+    Left,
+    /// A state of which nothing is known: better sent nothing.
+    #[serde(other)]
+    Unknown,
+}
+
+#[derive(Debug, thiserror::Error)]
+enum WatchError {
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    #[error("answered {0}")]
+    Status(StatusCode),
+    #[error("silent for too long")]
+    Silent(#[from] tokio::time::error::Elapsed),
+    #[error("a line that is no list: {0}")]
+    Malformed(#[from] serde_json::Error),
+    #[error("a line without end")]
+    TooLong,
+    #[error("ended")]
+    Ended,
+}
+
+/// Tells the gateway that the watch is over, however it ends: also when its task panics, or the gateway would
+/// wait for news that never come.
+struct Ended(Handle);
+
+impl Drop for Ended {
+    fn drop(&mut self) {
+        self.0.tell(Message::DiscoveryFailed);
+    }
+}
+
+/// Watches the list from version `since` on until that fails.
+pub async fn watch(address: SocketAddr, since: u64, gateway: Handle) {
+    let ended = Ended(gateway);
+    if let Err(error) = follow(address, since, &ended.0).await {
+        eprintln!("discovery: watch from version {since}: {error}");
+    }
+}
+
+async fn follow(address: SocketAddr, since: u64, gateway: &Handle) -> Result<(), WatchError> {
+    let opening = async {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let request = Request::get(format!("/registry/instances?follow=1&since={since}"))
+            .header("Host", address.to_string())
+            .body(Empty::<Bytes>::new())
+            .unwrap_or_default();
+        let mut connection = Box::pin(connection);
+        let response = tokio::select! {
+            response = sender.send_request(request) => response?,
+            ended = &mut connection => { ended?; return Err(WatchError::Ended) }
+        };
+        Ok::<_, WatchError>((response, connection, sender))
+    };
+    let (response, connection, _sender) = timeout(FIRST_LINE, opening).await??;
+    if response.status() != StatusCode::OK {
+        return Err(WatchError::Status(response.status()));
+    }
+    let reading = async {
+        let mut body = response.into_body();
+        let (mut text, mut first) = (Vec::new(), true);
+        loop {
+            // Keep-alive notices nothing where a machine has vanished: only the lines prove that discovery lives.
+            let wait = if first { FIRST_LINE } else { SILENCE };
+            let frame = timeout(wait, body.frame()).await?.ok_or(WatchError::Ended)??;
+            let Ok(data) = frame.into_data() else { continue };
+            text.extend_from_slice(&data);
+            while let Some(end) = text.iter().position(|&b| b == b'\n') {
+                let line: Vec<u8> = text.drain(..=end).collect();
+                if !line.trim_ascii().is_empty() {
+                    gateway.tell(Message::Hosts(serde_json::from_slice(&line)?));
+                } else if first {
+                    // Each call is owed an answer, also where nothing has changed.
+                    gateway.tell(Message::Hosts(List { index: since, ..List::default() }));
+                }
+                first = false;
+            }
+            if text.len() > LONGEST_LINE {
+                return Err(WatchError::TooLong);
+            }
+        }
+    };
+    tokio::pin!(reading);
+    tokio::select! {
+        biased;
+        read = &mut reading => read,
+        // What came before the end is read still.
+        _ = connection => reading.await,
+    }
+}
--- /dev/null
+++ b/src/bin/ottervane-gateway/gateway.rs
@@ -0,0 +1,430 @@
+//! The sole owner of the decisions, the request table and the timers: events in, actions carried out, outcomes
+//! told. What to do with a request is decided by [`Balancer`] alone.
+
+use crate::config::Names;
+use crate::discovery::{self, Endpoint, List, Status};
+use crate::hosts::{Answer, Attempt, Forward, Host, Pool};
+use hyper::StatusCode;
+use ottervane::{Action, Balancer, Event, HostId, HostState, Outcome, RequestId, Settings};
+use rustc_hash::FxHashMap;
+use std::cell::Cell;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::task::spawn_local;
+use tokio::time::{sleep_until, Instant};
+
+/// The gateway's clock starts here, so that hosts started before this process have a time on it.
+const BEFORE_START: Duration = Duration::from_secs(86_400);
+
+/// The final answer to a request.
+#[derive(Debug)]
+pub enum Final {
+    /// Served by a host.
+    Served(Answer),
+    /// Not done; trying again is harmless.
+    Refused {
+        /// How long to keep away; zero for no advice.
+        keep_away: Duration,
+    },
+    /// Not done, or not known to be.
+    Failed(StatusCode),
+}
+
+/// A request that a client is owed an answer to.
+pub struct Arrival {
+    /// What the module is told.
+    pub request: ottervane::Request,
+    /// What goes on to a host.
+    pub forward: Forward,
+    /// Where the answer goes.
+    pub answer: oneshot::Sender<Final>,
+    /// Cleared as soon as no answer is wanted any more.
+    pub open: Rc<Cell<bool>>,
+}
+
+/// What the gateway hears.
+pub enum Message {
+    /// A client's request.
+    Arrived(Box<Arrival>),
+    /// The client has gone.
+    Gone(RequestId),
+    /// An attempt has ended.
+    Ended {
+        /// The request.
+        request: RequestId,
+        /// Which attempt, from 0.
+        attempt: u32,
+        /// When it was sent.
+        sent: Instant,
+        /// How it ended.
+        outcome: Outcome,
+        /// The answer, where it was served.
+        answer: Option<Answer>,
+    },
+    /// News of the hosts.
+    Hosts(List),
+    /// The watch on the hosts has failed or ended.
+    DiscoveryFailed,
+}
+
+/// What all tasks share: the way to the gateway, the clock, and what is to be seen of its state.
+#[derive(Clone)]
+pub struct Handle {
+    messages: mpsc::UnboundedSender<Message>,
+    requests: Rc<Cell<u64>>,
+    hosts_up: Rc<Cell<bool>>,
+    clock: Clock,
+}
+
+impl Handle {
+    /// Tells the gateway something. Once it is gone the process ends, and nobody is left to be told.
+    pub fn tell(&self, message: Message) {
+        let _ = self.messages.send(message);
+    }
+
+    /// A number for a new request.
+    pub fn next_request(&self) -> RequestId {
+        self.requests.set(self.requests.get() + 1);
+        RequestId(self.requests.get())
+    }
+
+    /// Whether any host takes work.
+    pub fn hosts_up(&self) -> bool {
+        self.hosts_up.get()
+    }
+
+    /// The time on the module's clock.
+    pub fn time(&self, at: Instant) -> Duration {
+        self.clock.time(at)
+    }
+}
+
+/// The module's clock: monotonic, tied once to the Unix clock that all machines share.
+#[derive(Clone, Copy, Debug)]
+struct Clock {
+    start: Instant,
+    unix: Duration,
+}
+
+impl Clock {
+    fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix }
+    }
+
+    fn time(&self, at: Instant) -> Duration {
+        (BEFORE_START + at.saturating_duration_since(self.start))
+            .saturating_sub(self.start.saturating_duration_since(at))
+    }
+
+    fn instant(&self, time: Duration) -> Instant {
+        if time < BEFORE_START {
+            self.start.checked_sub(BEFORE_START - time).unwrap_or(self.start)
+        } else {
+            self.start + (time - BEFORE_START)
+        }
+    }
+
+    /// The time of a Unix time in milliseconds; none for long ago.
+    fn started(&self, unix_ms: u64) -> Option<Duration> {
+        let time = (BEFORE_START + Duration::from_millis(unix_ms)).checked_sub(self.unix)?;
+        (unix_ms > 0 && !time.is_zero()).then_some(time)
+    }
+}
+
+/// A request that is open or has an attempt out.
+struct Entry {
+    forward: Rc<Forward>,
+    answer: Option<oneshot::Sender<Final>>,
+    open: Rc<Cell<bool>>,
+    give_up: Instant,
+    attempts: Vec<Rc<Notify>>,
+    out: u32,
+    last: Outcome,
+}
+
+impl Entry {
+    /// Gives the final answer, unless it was given. No attempt goes out from here on.
+    fn finish(&mut self, answer: Final) {
+        self.open.set(false);
+        if let Some(sender) = self.answer.take() {
+            let _ = sender.send(answer); // a client that has gone wants none
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    Module(u64),
+    Backstop(RequestId),
+}
+
+/// Reports how an attempt ended, also where its task panics: the request may have run by then.
+struct Report {
+    gateway: Handle,
+    request: RequestId,
+    attempt: u32,
+    sent: Instant,
+    end: (Outcome, Option<Answer>),
+}
+
+impl Drop for Report {
+    fn drop(&mut self) {
+        let (request, attempt, sent) = (self.request, self.attempt, self.sent);
+        let (outcome, answer) = (self.end.0, self.end.1.take());
+        self.gateway.tell(Message::Ended { request, attempt, sent, outcome, answer });
+    }
+}
+
+/// A gateway.
+pub struct Gateway {
+    balancer: Balancer,
+    names: Rc<Names>,
+    pool: Rc<Pool>,
+    discovery: SocketAddr,
+    version: u64,
+    hosts: Vec<Rc<Host>>,
+    host_ids: FxHashMap<String, HostId>,
+    requests: FxHashMap<RequestId, Entry>,
+    timers: BinaryHeap<Reverse<(Instant, Timer)>>,
+    messages: mpsc::UnboundedReceiver<Message>,
+    handle: Handle,
+}
+
+impl Gateway {
+    /// A gateway that knows no host yet, and the way to tell it things.
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        names: Rc<Names>,
+        pool: Rc<Pool>,
+        discovery: SocketAddr,
+    ) -> (Gateway, Handle) {
+        let (sender, messages) = mpsc::unbounded_channel();
+        let (requests, hosts_up) = Default::default();
+        let handle = Handle { messages: sender, requests, hosts_up, clock: Clock::new() };
+        let gateway = Gateway {
+            balancer: Balancer::new(settings, seed),
+            names,
+            pool,
+            discovery,
+            version: 0,
+            hosts: Vec::new(),
+            host_ids: FxHashMap::default(),
+            requests: FxHashMap::default(),
+            timers: BinaryHeap::new(),
+            messages,
+            handle: handle.clone(),
+        };
+        (gateway, handle)
+    }
+
+    /// Runs for as long as the process does.
+    pub async fn run(mut self) {
+        loop {
+            let next = self.timers.peek().map(|Reverse((at, _))| *at);
+            let timer = async {
+                match next {
+                    Some(at) => sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                message = self.messages.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => return,
+                },
+                () = timer => {}
+            }
+            self.fire();
+        }
+    }
+
+    fn fire(&mut self) {
+        let now = Instant::now();
+        while self.timers.peek().is_some_and(|Reverse((at, _))| *at <= now) {
+            match self.timers.pop() {
+                Some(Reverse((_, Timer::Module(token)))) => self.decide(Event::Timer { token }),
+                Some(Reverse((_, Timer::Backstop(id)))) => self.backstop(id),
+                None => {}
+            }
+        }
+    }
+
+    /// Answers what the module has left unanswered until the last moment.
+    fn backstop(&mut self, id: RequestId) {
+        let Some(entry) = self.requests.get_mut(&id).filter(|e| e.answer.is_some()) else { return };
+        entry.finish(Final::Failed(StatusCode::GATEWAY_TIMEOUT));
+        self.abandon(id);
+    }
+
+    /// Tells the module that a request is over without its doing.
+    fn abandon(&mut self, id: RequestId) {
+        self.decide(Event::Abandoned { request: id });
+        self.forget_if_done(id);
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Arrived(arrival) => {
+                let Arrival { request, forward, answer, open } = *arrival;
+                let give_up = self.handle.clock.instant(request.give_up_at);
+                let (forward, answer) = (Rc::new(forward), Some(answer));
+                let (attempts, out, last) = (Vec::new(), 0, Outcome::NotSent);
+                self.timers.push(Reverse((give_up, Timer::Backstop(request.id))));
+                let id = request.id;
+                self.requests.insert(id, Entry { forward, answer, open, give_up, attempts, out, last });
+                self.decide(Event::Request(request));
+                self.forget_if_done(id);
+            }
+            Message::Gone(id) => {
+                if let Some(entry) = self.requests.get_mut(&id) {
+                    entry.open.set(false);
+                    entry.answer = None;
+                    self.abandon(id);
+                }
+            }
+            Message::Ended { request, attempt, sent, outcome, answer } => {
+                let Some(entry) = self.requests.get_mut(&request) else { return };
+                entry.out -= 1;
+                entry.last = outcome;
+                if let Some(answer) = answer {
+                    entry.finish(Final::Served(answer));
+                }
+                let (latency, over) = (sent.elapsed(), entry.answer.is_none());
+                self.decide(Event::Outcome { request, attempt, latency, outcome, over });
+                self.forget_if_done(request);
+            }
+            Message::Hosts(list) => self.learn(list),
+            Message::DiscoveryFailed => self.decide(Event::DiscoveryFailed),
+        }
+    }
+
+    fn forget_if_done(&mut self, id: RequestId) {
+        if self.requests.get(&id).is_some_and(|e| e.answer.is_none() && e.out == 0) {
+            self.requests.remove(&id);
+        }
+    }
+
+    /// Takes a list of hosts in, or what has changed of it.
+    pub fn learn(&mut self, list: List) {
+        self.version = list.index;
+        if list.snapshot {
+            // What a whole list lacks is gone.
+            self.hosts.iter().for_each(|h| h.takes_work.set(false));
+        }
+        let news: Vec<ottervane::Host> = list.endpoints.iter().map(|e| self.host(e)).collect();
+        for host in self.hosts.iter().filter(|h| !h.takes_work.get()) {
+            self.pool.close(host.id);
+        }
+        self.handle.hosts_up.set(self.hosts.iter().any(|h| h.takes_work.get()));
+        self.decide(Event::Hosts { full: list.snapshot, hosts: &news });
+    }
+
+    /// An entry in the module's terms. A host keeps its number by its name, also when it comes back.
+    fn host(&mut self, entry: &Endpoint) -> ottervane::Host {
+        let next = HostId(self.hosts.len() as u32);
+        let id = *self.host_ids.entry(entry.name.clone()).or_insert(next);
+        if id == next {
+            self.hosts.push(Rc::new(Host { id, address: Cell::new(None), takes_work: Cell::new(false) }));
+        }
+        let host = &self.hosts[id.0 as usize];
+        let address = entry.address.parse().ok();
+        if address.is_some() {
+            host.address.set(address);
+        }
+        let state = match entry.status {
+            Status::Active if host.address.get().is_some() => HostState::Up,
+            Status::Active | Status::Left => HostState::Removed,
+            Status::Leaving | Status::Unknown => HostState::Draining,
+        };
+        host.takes_work.set(state == HostState::Up);
+        let place =
+            |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(names.len()) as u32;
+        ottervane::Host {
+            state,
+            zone: place(&self.names.zones, &entry.zone),
+            cell: entry.group,
+            started: self.handle.clock.started(entry.since_ms),
+            kind: place(&self.names.kinds, &entry.kind),
+            weight: entry.weight,
+            ..ottervane::Host::new(id, &entry.name)
+        }
+    }
+
+    /// Has the module decide, and does what it says.
+    fn decide(&mut self, event: Event<'_>) {
+        let mut actions = Vec::new();
+        self.balancer.handle(self.handle.clock.time(Instant::now()), event, &mut actions);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { request, host, until } => self.send(request, host, until),
+            Action::Cancel { request, attempt } => {
+                let attempts = self.requests.get(&request).map(|e| &e.attempts);
+                if let Some(cancel) = attempts.and_then(|a| a.get(attempt as usize)) {
+                    cancel.notify_one();
+                }
+            }
+            Action::Refuse { request, keep_away } => self.finish(request, Final::Refused { keep_away }),
+            Action::Fail { request } => {
+                let late = self.requests.get(&request).is_some_and(|e| e.last == Outcome::TimedOut);
+                let status = if late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
+                self.finish(request, Final::Failed(status));
+            }
+            Action::Wake { after, token } => {
+                self.timers.push(Reverse((Instant::now() + after, Timer::Module(token))));
+            }
+            // The module asks for none: probing has no place in its design.
+            Action::Probe { host } => {
+                let (outcome, latency) = (Outcome::NotSent, Duration::ZERO);
+                self.decide(Event::Probed { host, outcome, latency });
+            }
+            Action::Close { host } => self.pool.close(host),
+            Action::Subscribe => {
+                spawn_local(discovery::watch(self.discovery, self.version, self.handle.clone()));
+            }
+        }
+    }
+
+    fn finish(&mut self, id: RequestId, answer: Final) {
+        if let Some(entry) = self.requests.get_mut(&id) {
+            entry.finish(answer);
+        }
+        self.forget_if_done(id);
+    }
+
+    fn send(&mut self, id: RequestId, host: HostId, until: Duration) {
+        let until = self.handle.clock.instant(until);
+        let Some(entry) = self.requests.get_mut(&id) else { return };
+        let Some(host) = self.hosts.get(host.0 as usize) else { return };
+        let cancel = Rc::new(Notify::new());
+        let attempt = Attempt {
+            host: host.clone(),
+            forward: entry.forward.clone(),
+            until: until.min(entry.give_up),
+            open: entry.open.clone(),
+            cancel: cancel.clone(),
+        };
+        let (gateway, sent) = (self.handle.clone(), Instant::now());
+        let number = entry.attempts.len() as u32;
+        let end = (Outcome::Reset, None);
+        let report = Report { gateway, request: id, attempt: number, sent, end };
+        entry.attempts.push(cancel);
+        entry.out += 1;
+        let pool = self.pool.clone();
+        spawn_local(async move {
+            let mut report = report; // the whole of it, for its drop is what reports
+            report.end = pool.attempt(&attempt).await;
+        });
+    }
+}
--- /dev/null
+++ b/src/bin/ottervane-gateway/hosts.rs
@@ -0,0 +1,351 @@
+//! Connections to hosts: one attempt at a time on each, every attempt counted, every end told apart.
+
+use crate::sockets::{Slot, Slots};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::{Method, Request, StatusCode, Uri};
+use hyper_util::rt::TokioIo;
+use ottervane::{HostId, Outcome};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::future::{poll_fn, Future};
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::{sleep_until, timeout_at, Instant};
+
+/// The longest body that either side may send.
+pub const MAX_BODY: usize = 64 << 10;
+/// The most that is read ahead of a head or body on one connection.
+pub const MAX_BUFFER: usize = 96 << 10;
+
+/// Headers that belong to one connection, or that each side words anew.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::CONTENT_LENGTH,
+    header::UPGRADE,
+    header::TE,
+    header::TRAILER,
+    header::EXPECT,
+    header::PROXY_AUTHORIZATION,
+];
+
+/// Removes what is meant for one connection only, the headers that `Connection` names included.
+pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in HOP_BY_HOP.iter().chain(&named) {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+}
+
+/// A host, as far as sending to it goes.
+#[derive(Debug)]
+pub struct Host {
+    /// Its number.
+    pub id: HostId,
+    /// Where it listens.
+    pub address: Cell<Option<SocketAddr>>,
+    /// Whether anything new may be sent to it.
+    pub takes_work: Cell<bool>,
+}
+
+/// A client's request, as it goes on to a host.
+#[derive(Debug)]
+pub struct Forward {
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// Its end-to-end headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// A host's whole answer with status 200.
+#[derive(Debug)]
+pub struct Answer {
+    /// Its end-to-end headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// One attempt to have a request served.
+pub struct Attempt {
+    /// By whom.
+    pub host: Rc<Host>,
+    /// What is sent.
+    pub forward: Rc<Forward>,
+    /// When it is given up.
+    pub until: Instant,
+    /// Whether the request still wants an answer.
+    pub open: Rc<Cell<bool>>,
+    /// Calls the attempt off.
+    pub cancel: Rc<Notify>,
+}
+
+/// A stream that remembers whether anything was written to it.
+struct Wire {
+    stream: TokioIo<TcpStream>,
+    written: Rc<Cell<bool>>,
+}
+
+impl Wire {
+    fn note(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if matches!(written, Poll::Ready(Ok(n)) if n > 0) {
+            self.written.set(true);
+        }
+        written
+    }
+}
+
+impl Read for Wire {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buffer)
+    }
+}
+
+impl Write for Wire {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, data);
+        self.note(written)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        data: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, data);
+        self.note(written)
+    }
+}
+
+/// A connection to a host. It is driven by whoever holds it and by no task of its own, so that dropping it
+/// closes the socket there and then: a later attempt must not find an earlier one still out.
+struct Connection {
+    host: HostId,
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    driver: Pin<Box<http1::Connection<Wire, Full<Bytes>>>>,
+    written: Rc<Cell<bool>>,
+    idle_since: Instant,
+    _slot: Slot,
+}
+
+impl Connection {
+    /// Whether the host has left it open, as far as is known now.
+    async fn is_open(&mut self) -> bool {
+        let over = poll_fn(|cx| Poll::Ready(self.driver.as_mut().poll(cx).is_ready())).await;
+        !over && self.sender.is_ready()
+    }
+}
+
+/// All connections to hosts that are idle, the one used last at the end.
+pub struct Pool {
+    idle: RefCell<VecDeque<Connection>>,
+    slots: Slots,
+    dial_timeout: Duration,
+    idle_most: Duration,
+}
+
+impl Pool {
+    /// An empty pool that opens at most `slots`. The hosts close what has been idle for `keepalive`.
+    pub fn new(slots: Slots, dial_timeout: Duration, keepalive: Duration) -> Pool {
+        // A request that crosses the host's close is lost to a reset: never come near that moment.
+        Pool { idle: RefCell::default(), slots, dial_timeout, idle_most: keepalive / 2 }
+    }
+
+    /// Closes the idle connections to a host.
+    pub fn close(&self, host: HostId) {
+        self.idle.borrow_mut().retain(|c| c.host != host);
+    }
+
+    /// Closes, for as long as it runs, what has been idle for long or was closed by its host: either only
+    /// takes up a descriptor and a place at the host.
+    pub async fn sweep(&self) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            let idle = self.idle.borrow().len();
+            for _ in 0..idle {
+                let Some(mut connection) = self.idle.borrow_mut().pop_front() else { break };
+                if connection.idle_since.elapsed() < self.idle_most && connection.is_open().await {
+                    self.idle.borrow_mut().push_back(connection);
+                }
+            }
+        }
+    }
+
+    /// The idle connection to the host that was used last and is still open.
+    async fn reuse(&self, host: &Host) -> Option<Connection> {
+        loop {
+            let mut connection = {
+                let mut idle = self.idle.borrow_mut();
+                let at = idle.iter().rposition(|c| c.host == host.id)?;
+                idle.remove(at)?
+            };
+            let fresh = connection.idle_since.elapsed() < self.idle_most;
+            if fresh && Some(connection.address) == host.address.get() && connection.is_open().await {
+                return Some(connection);
+            }
+        }
+    }
+
+    /// Opens a connection, closing one that has been idle for long where there is no room.
+    async fn dial(&self, host: &Host, until: Instant) -> Result<Connection, Outcome> {
+        let address = host.address.get().ok_or(Outcome::NotSent)?;
+        let slot = self.slots.take().or_else(|| {
+            self.idle.borrow_mut().pop_front();
+            self.slots.take()
+        });
+        // No room here says nothing of the host.
+        let slot = slot.ok_or(Outcome::NotSent)?;
+        let until = until.min(Instant::now() + self.dial_timeout);
+        let stream = match timeout_at(until, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if own_shortage(&error) => return Err(Outcome::NotSent),
+            Ok(Err(_)) | Err(_) => return Err(Outcome::NoConnection),
+        };
+        let _ = stream.set_nodelay(true);
+        let written = Rc::new(Cell::new(false));
+        let wire = Wire { stream: TokioIo::new(stream), written: written.clone() };
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_BUFFER);
+        let (sender, driver) = builder.handshake(wire).await.map_err(|_| Outcome::NoConnection)?;
+        let (driver, idle_since) = (Box::pin(driver), Instant::now());
+        Ok(Connection { host: host.id, address, sender, driver, written, idle_since, _slot: slot })
+    }
+
+    /// Makes the attempt and tells how it ended. Its connection is closed by then, or idle in the pool.
+    pub async fn attempt(&self, attempt: &Attempt) -> (Outcome, Option<Answer>) {
+        let sent = Cell::new(false);
+        tokio::select! {
+            biased;
+            () = attempt.cancel.notified() => (Outcome::Cancelled, None),
+            ended = self.exchange(attempt, &sent) => match ended {
+                Ok(answer) => (Outcome::Served, Some(answer)),
+                Err(outcome) => (outcome, None),
+            },
+            () = sleep_until(attempt.until) =>
+                (if sent.get() { Outcome::TimedOut } else { Outcome::NoConnection }, None),
+        }
+    }
+
+    async fn exchange(&self, attempt: &Attempt, sent: &Cell<bool>) -> Result<Answer, Outcome> {
+        let Attempt { host, forward, until, open, .. } = attempt;
+        let mut connection = match self.reuse(host).await {
+            Some(connection) => connection,
+            None => self.dial(host, *until).await?,
+        };
+        // The request may have been answered, and the host begun to drain, while the connection came up.
+        if !open.get() || !host.takes_work.get() {
+            self.put_back(connection, host).await;
+            return Err(Outcome::NotSent);
+        }
+        let request = request(forward, *until);
+        connection.written.set(false);
+        sent.set(true);
+        let sending = connection.sender.send_request(request);
+        let answering = async {
+            let (head, body) = sending.await?.into_parts();
+            Ok::<_, hyper::Error>((head, Limited::new(body, MAX_BODY).collect().await))
+        };
+        tokio::pin!(answering);
+        let mut over = false;
+        let answered = poll_fn(|cx| {
+            if let Poll::Ready(answered) = answering.as_mut().poll(cx) {
+                return Poll::Ready(answered);
+            }
+            over = over || connection.driver.as_mut().poll(cx).is_ready();
+            answering.as_mut().poll(cx)
+        })
+        .await;
+        let broken = if connection.written.get() { Outcome::Reset } else { Outcome::NoConnection };
+        let (head, body) = answered.map_err(|_| broken)?;
+        let body = match body {
+            Ok(body) => body.to_bytes(),
+            Err(error) if error.is::<hyper::Error>() => return Err(Outcome::Reset),
+            Err(_) => return Err(Outcome::Error), // longer than an answer may be
+        };
+        if !over {
+            self.put_back(connection, host).await;
+        }
+        match head.status {
+            StatusCode::OK => {
+                let mut headers = head.headers;
+                strip_hop_by_hop(&mut headers);
+                Ok(Answer { headers, body })
+            }
+            // Only where the host says so is it sure that the request has not run.
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT
+                if head.headers.get("x-not-processed").is_some_and(|v| v == "1") =>
+            {
+                Err(Outcome::Rejected)
+            }
+            _ => Err(Outcome::Error),
+        }
+    }
+
+    async fn put_back(&self, mut connection: Connection, host: &Host) {
+        if host.takes_work.get() && connection.is_open().await {
+            connection.idle_since = Instant::now();
+            self.idle.borrow_mut().push_back(connection);
+        }
+    }
+}
+
+/// The request as it is written to a host that has until `until`.
+fn request(forward: &Forward, until: Instant) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(forward.body.clone()));
+    *request.method_mut() = forward.method.clone();
+    *request.uri_mut() = forward.uri.clone();
+    *request.headers_mut() = forward.headers.clone();
+    let wait = until.saturating_duration_since(Instant::now()).as_micros();
+    if let Ok(wait) = HeaderValue::from_str(&format!("{wait}u")) {
+        request.headers_mut().insert("x-timeout", wait);
+    }
+    request
+}
+
+/// Whether the error tells of this machine, not of the host: no descriptor, port or memory left.
+fn own_shortage(error: &io::Error) -> bool {
+    const ENFILE: i32 = 23;
+    const EMFILE: i32 = 24;
+    const ENOBUFS: i32 = 105;
+    error.kind() == io::ErrorKind::AddrNotAvailable
+        || error.kind() == io::ErrorKind::OutOfMemory
+        || matches!(error.raw_os_error(), Some(ENFILE | EMFILE | ENOBUFS))
+}
--- /dev/null
+++ b/src/bin/ottervane-gateway/main.rs
@@ -0,0 +1,88 @@
+//! The gateway on real sockets: start, wiring, and the way out. The decisions are the library's.
+
+mod clients;
+mod config;
+mod discovery;
+mod gateway;
+mod hosts;
+mod sockets;
+
+use clients::Server;
+use config::Config;
+use gateway::Gateway;
+use hosts::Pool;
+use sockets::Budget;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::LocalSet;
+
+/// Connections that the kernel holds for us: a burst must find room there.
+const BACKLOG: u32 = 4096;
+/// After SIGTERM new connections come for 0.4 s at most; once none has come for so long, none will.
+const QUIET: Duration = Duration::from_millis(450);
+
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+async fn serve(config: Config) -> Result<(), Box<dyn Error>> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let budget = Budget::new(config.limits.sockets);
+    let (names, classes) = (Rc::new(config.names), config.settings.classes.clone());
+    let pool = Rc::new(Pool::new(budget.hosts.clone(), config.dial_timeout, config.keepalive));
+    let (mut gateway, handle) =
+        Gateway::new(config.settings, config.seed, names.clone(), pool.clone(), config.discovery);
+    let listener = listen(config.listen)?;
+    gateway.learn(config.known);
+    let server = Rc::new(Server::new(handle, names, classes, &budget));
+    eprintln!("listening on {}", config.listen);
+    // These four live and die with the process: a panic in one of them ends it, for it would be half alive.
+    let gateway = gateway.run();
+    let sweep = pool.sweep();
+    tokio::pin!(gateway, sweep);
+    tokio::select! {
+        () = gateway.as_mut() => return Err("the gateway has ended".into()),
+        () = sweep.as_mut() => {}
+        () = server.clone().accept(&listener) => {}
+        _ = terminate.recv() => {}
+    }
+    eprintln!("SIGTERM: stopping");
+    let stopping = async {
+        tokio::select! {
+            () = server.clone().accept(&listener) => {}
+            () = server.stop(QUIET) => {}
+        }
+        server.accept_rest(listener)?;
+        server.finish().await;
+        Ok(())
+    };
+    tokio::select! {
+        () = gateway => Err("the gateway has ended".into()),
+        () = sweep => Ok(()),
+        stopped = stopping => stopped,
+    }
+}
+
+fn run() -> Result<(), Box<dyn Error>> {
+    let config = Config::from_env()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, serve(config))
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("ottervane-gateway: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/ottervane-gateway/sockets.rs
@@ -0,0 +1,59 @@
+//! The budget of descriptors: a fixed share for clients and one for hosts, so that neither starves the other.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// Descriptors of the program itself: standard streams, poller, wakers, signals, listener, discovery.
+const OWN: usize = 20;
+
+/// A number of descriptors that may be open at once.
+#[derive(Clone, Debug)]
+pub struct Slots {
+    open: Rc<Cell<usize>>,
+    most: usize,
+}
+
+impl Slots {
+    fn new(most: usize) -> Slots {
+        Slots { open: Rc::default(), most }
+    }
+
+    /// Takes a descriptor, if one is left.
+    pub fn take(&self) -> Option<Slot> {
+        (self.open.get() < self.most).then(|| {
+            self.open.set(self.open.get() + 1);
+            Slot(self.open.clone())
+        })
+    }
+}
+
+/// A descriptor taken; given back when it is dropped.
+#[derive(Debug)]
+pub struct Slot(Rc<Cell<usize>>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// How `sockets` descriptors are shared out.
+pub struct Budget {
+    /// Connections of clients.
+    pub clients: Slots,
+    /// Connections that are taken in beyond those, only to be told that there is no room: what has come
+    /// as far as the kernel is taken, so accepting may not stop.
+    pub overflow: Slots,
+    /// Connections to hosts.
+    pub hosts: Slots,
+}
+
+impl Budget {
+    /// Shares out `sockets` descriptors.
+    pub fn new(sockets: usize) -> Budget {
+        let rest = sockets.saturating_sub(OWN);
+        let (overflow, clients) = (rest / 8, rest / 2);
+        let hosts = rest - overflow - clients;
+        Budget { clients: Slots::new(clients), overflow: Slots::new(overflow), hosts: Slots::new(hosts) }
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -158,6 +158,12 @@
     Duration::from_micros((s * 1e6).round().clamp(0.0, 1e15) as u64)
 }
 
+/// Reads the settings object that an instance is told at its start, from its JSON text. Unknown names are
+/// passed over.
+pub fn parse_settings(json: &str) -> Result<Settings, serde_json::Error> {
+    serde_json::from_str(json).map(settings)
+}
+
 fn settings(raw: RawSettings) -> Settings {
     let class = |c: RawClass| Class {
         aim: time(c.promise_s),
@@ -343,8 +349,7 @@
         let gateway = e.gateway.ok_or_else(|| lacks("gateway"))?;
         if kind == "Launch" {
             let info = e.profile_data.ok_or_else(|| lacks("profile_data"))?;
-            let raw = serde_json::from_str(info.get()).map_err(|err| format!("settings: {err}"))?;
-            let settings = settings(raw);
+            let settings = parse_settings(info.get()).map_err(|err| format!("settings: {err}"))?;
             let seed = e.random_seed.ok_or_else(|| lacks("random_seed"))?;
             let instance = Instance {
                 balancer: Balancer::new(settings, seed),
