Count the time before a request is read; bound shutdown, memory and a silent watch

The deadline in clients.rs ran from the reading. A pulse of the event loop now tells how long it may have waited; what is over is answered, not sent. Also: SIGTERM waited for a quiet front without bound, and for a client that never ends its request (clients.rs, stop and finish); memory_mb was read and not used (sockets.rs); a silent watch was given 3.2 s, which with the module's own wait of up to 4 s could pass the 6 s after which news count as told (discovery.rs, now 2.7 s); a panic in the module would have ended the process with all it held (gateway.rs now fails that and starts it anew).

Checked: counts_the_time_before_it_reads_a_request stops the gateway for 2 s; the test of SIGTERM holds a half-written request. Ruled out: reading arrival times from the kernel, which needs unsafe code.

--- a/src/bin/ottervane-gateway/clients.rs
+++ b/src/bin/ottervane-gateway/clients.rs
@@ -20,13 +20,22 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, Notify};
 use tokio::task::spawn_local;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{timeout, timeout_at, Instant};
 
 /// A client that sends no head for so long, or keeps a connection idle for so long, loses it.
 const IDLE: Duration = Duration::from_secs(75);
+/// A connection that is to be closed may take so long over a message that is under way.
+const LINGER: Duration = Duration::from_secs(1);
 /// The answer leaves so long before the client gives up: the way here and back, and a busy machine.
 const AHEAD: Duration = Duration::from_millis(15);
 
+/// The pulse of the event loop: what waits to be read while no pulse comes has waited for as long.
+const PULSE: Duration = Duration::from_millis(10);
+/// After SIGTERM new connections come for 0.4 s at most, and what comes later than 0.7 s need not be answered: the
+/// listener closes between these two times, as soon as no connection has come for `QUIET`.
+const LISTEN_ON: (Duration, Duration) = (Duration::from_millis(450), Duration::from_millis(650));
+const QUIET: Duration = Duration::from_millis(200);
+
 /// What is wrong with a request, so that it goes no further.
 #[derive(Debug, thiserror::Error)]
 enum Malformed {
@@ -65,6 +74,7 @@
 #[derive(Debug, Default)]
 struct Peer {
     idle_since: Cell<Option<Instant>>,
+    closing: Cell<bool>,
     close: Notify,
 }
 
@@ -78,6 +88,8 @@
     peers: RefCell<Vec<Rc<Peer>>>,
     left: Notify,
     accepted: Cell<Instant>,
+    pulse: Cell<Instant>,
+    stalled: Cell<Duration>,
     stopping: Cell<bool>,
 }
 
@@ -109,6 +121,8 @@
             peers: RefCell::default(),
             left: Notify::new(),
             accepted: Cell::new(Instant::now()),
+            pulse: Cell::new(Instant::now()),
+            stalled: Cell::default(),
             stopping: Cell::new(false),
         }
     }
@@ -159,9 +173,9 @@
     /// Has the connection closed that has been idle for longest.
     fn close_idle(&self) {
         let peers = self.peers.borrow();
-        let idle = peers.iter().filter(|p| p.idle_since.get().is_some());
+        let idle = peers.iter().filter(|p| p.idle_since.get().is_some() && !p.closing.get());
         if let Some(peer) = idle.min_by_key(|p| p.idle_since.get()) {
-            peer.idle_since.set(None);
+            peer.closing.set(true);
             peer.close.notify_one();
         }
     }
@@ -174,6 +188,7 @@
             async move {
                 peer.idle_since.set(None);
                 let mut response = server.answer(request).await;
+                // A client that stays would have to be cut off at the end.
                 if server.stopping.get() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
@@ -194,15 +209,36 @@
         }
         // What is being answered is still answered; hyper closes after that, or now where nothing is.
         connection.as_mut().graceful_shutdown();
-        let _ = connection.await; // an error here is the client's doing, and its going was told
+        // A client that neither ends its request nor takes its answer must not keep the connection for ever.
+        while timeout(LINGER, connection.as_mut()).await.is_err() && peer.idle_since.get().is_none() {}
+    }
+
+    /// Notes, for as long as it runs, when the event loop last came round and how late it was.
+    pub async fn feel_pulse(&self) {
+        loop {
+            tokio::time::sleep(PULSE).await;
+            self.stalled.set(self.pulse.get().elapsed().saturating_sub(2 * PULSE));
+            self.pulse.set(Instant::now());
+        }
+    }
+
+    /// How long a request that is read now may have waited in the kernel: nothing tells when it came, but a process
+    /// that was stopped or starved for a while reads all that came meanwhile as if it were new.
+    fn waited(&self) -> Duration {
+        self.pulse.get().elapsed().saturating_sub(2 * PULSE).max(self.stalled.get())
     }
 
-    /// Says goodbye with each answer from now on; done once no new connection has come for `quiet`.
-    pub async fn stop(&self, quiet: Duration) {
+    /// Says goodbye with each answer from now on; done once no new connections are to be expected.
+    pub async fn stop(&self) {
         self.stopping.set(true);
-        self.accepted.set(Instant::now());
-        while self.accepted.get().elapsed() < quiet {
-            tokio::time::sleep_until(self.accepted.get() + quiet).await;
+        let start = Instant::now();
+        let (least, most) = (start + LISTEN_ON.0, start + LISTEN_ON.1);
+        loop {
+            let until = (self.accepted.get() + QUIET).clamp(least, most);
+            if Instant::now() >= until {
+                return;
+            }
+            tokio::time::sleep_until(until).await;
         }
     }
 
@@ -218,12 +254,12 @@
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let read = Instant::now();
+        let came = Instant::now() - self.waited();
         if request.uri().path() == "/health/ready" {
             let ready = self.gateway.hosts_up() && !self.stopping.get();
             return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
-        match self.take(request, read).await {
+        match self.take(request, came).await {
             Ok(answer) => self.respond(answer),
             Err(malformed) => plain(malformed.status(), &format!("{malformed}\n")),
         }
@@ -248,7 +284,7 @@
     }
 
     /// Has a request decided. The answer comes from the gateway, whatever becomes of the hosts.
-    async fn take(&self, request: Request<Incoming>, read: Instant) -> Result<Final, Malformed> {
+    async fn take(&self, request: Request<Incoming>, came: Instant) -> Result<Final, Malformed> {
         let (mut head, body) = request.into_parts();
         let headers = &head.headers;
         if text(headers, "x-request-id").is_none_or(str::is_empty) {
@@ -273,7 +309,7 @@
             return Err(Malformed::WrongKey);
         }
         let patience = text(headers, "x-timeout").and_then(patience).ok_or(Malformed::BadTimeout)?;
-        let give_up = read + patience.min(class.deadline).saturating_sub(AHEAD);
+        let give_up = came + patience.min(class.deadline).saturating_sub(AHEAD);
         let cost = match text(headers, "x-cost") {
             Some(cost) => Some(Duration::from_micros(cost.trim().parse().map_err(|_| Malformed::BadCost)?)),
             None => None,
@@ -296,6 +332,9 @@
             Ok(Err(_)) => return Err(Malformed::TooLong),
             Err(_) => return Err(Malformed::NoBody),
         };
+        if Instant::now() >= give_up {
+            return Ok(Final::Failed(StatusCode::GATEWAY_TIMEOUT)); // too late to begin
+        }
         strip_hop_by_hop(&mut head.headers);
         let forward = Forward { method: head.method, uri: head.uri, headers: head.headers, body };
         let (answer, decided) = oneshot::channel();
--- a/src/bin/ottervane-gateway/config.rs
+++ b/src/bin/ottervane-gateway/config.rs
@@ -10,6 +10,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// The least memory in which a few clients fit.
+const LEAST_MEMORY_MB: usize = 16;
 /// The fewest descriptors that leave room for clients and hosts beside the program's own.
 const LEAST_SOCKETS: usize = 48;
 
@@ -170,6 +172,10 @@
             let few = format!("{path}: {} descriptors, at least {LEAST_SOCKETS} needed", raw.limits.sockets);
             return Err(ConfigError::Unusable(few));
         }
+        if raw.limits.memory_mb < LEAST_MEMORY_MB {
+            let little = format!("{path}: {} MB, at least {LEAST_MEMORY_MB} needed", raw.limits.memory_mb);
+            return Err(ConfigError::Unusable(little));
+        }
         let plain = |list: Vec<Named>| list.into_iter().map(|n| n.name).collect();
         Ok(Config {
             listen: address("listen", "ROUTER_LISTEN", raw.listen)?,
--- a/src/bin/ottervane-gateway/discovery.rs
+++ b/src/bin/ottervane-gateway/discovery.rs
@@ -14,8 +14,9 @@
 
 /// A call may wait its turn for so long before its first line comes.
 const FIRST_LINE: Duration = Duration::from_secs(4);
-/// An empty line comes every 2 s on a live watch; without any for so long it is dead.
-const SILENCE: Duration = Duration::from_millis(3200);
+/// An empty line comes every 2 s on a live watch; without any for so long it is dead. News count as told 6 s after
+/// they were due, and the module lets up to 4 s pass before it asks again: there is no time to lose.
+const SILENCE: Duration = Duration::from_millis(2700);
 /// A line that is longer than this is none.
 const LONGEST_LINE: usize = 4 << 20;
 
@@ -101,18 +102,22 @@
 
 /// Tells the gateway that the watch is over, however it ends: also when its task panics, or the gateway would
 /// wait for news that never come.
-struct Ended(Handle);
+struct Ended {
+    gateway: Handle,
+    watch: u64,
+}
 
 impl Drop for Ended {
     fn drop(&mut self) {
-        self.0.tell(Message::DiscoveryFailed);
+        self.gateway.tell(Message::DiscoveryFailed { watch: self.watch });
     }
 }
 
-/// Watches the list from version `since` on until that fails.
-pub async fn watch(address: SocketAddr, since: u64, gateway: Handle) {
-    let ended = Ended(gateway);
-    if let Err(error) = follow(address, since, &ended.0).await {
+/// Watches the list from version `since` on until that fails; the gateway counts its watches, and this is number
+/// `watch`.
+pub async fn watch(address: SocketAddr, since: u64, watch: u64, gateway: Handle) {
+    let ended = Ended { gateway, watch };
+    if let Err(error) = follow(address, since, &ended.gateway).await {
         eprintln!("discovery: watch from version {since}: {error}");
     }
 }
--- a/src/bin/ottervane-gateway/gateway.rs
+++ b/src/bin/ottervane-gateway/gateway.rs
@@ -11,10 +11,11 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot, Notify};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep_until, Instant};
 
 /// The gateway's clock starts here, so that hosts started before this process have a time on it.
@@ -67,8 +68,11 @@
     },
     /// News of the hosts.
     Hosts(List),
-    /// The watch on the hosts has failed or ended.
-    DiscoveryFailed,
+    /// A watch on the hosts has failed or ended.
+    DiscoveryFailed {
+        /// Which, counted from 1.
+        watch: u64,
+    },
 }
 
 /// What all tasks share: the way to the gateway, the clock, and what is to be seen of its state.
@@ -183,11 +187,16 @@
 /// A gateway.
 pub struct Gateway {
     balancer: Balancer,
+    settings: Settings,
+    seed: u64,
     names: Rc<Names>,
     pool: Rc<Pool>,
     discovery: SocketAddr,
     version: u64,
+    watch: u64,
+    watching: Option<JoinHandle<()>>,
     hosts: Vec<Rc<Host>>,
+    listed: Vec<ottervane::Host>,
     host_ids: FxHashMap<String, HostId>,
     requests: FxHashMap<RequestId, Entry>,
     timers: BinaryHeap<Reverse<(Instant, Timer)>>,
@@ -208,12 +217,17 @@
         let (requests, hosts_up) = Default::default();
         let handle = Handle { messages: sender, requests, hosts_up, clock: Clock::new() };
         let gateway = Gateway {
-            balancer: Balancer::new(settings, seed),
+            balancer: Balancer::new(settings.clone(), seed),
+            settings,
+            seed,
             names,
             pool,
             discovery,
             version: 0,
+            watch: 0,
+            watching: None,
             hosts: Vec::new(),
+            listed: Vec::new(),
             host_ids: FxHashMap::default(),
             requests: FxHashMap::default(),
             timers: BinaryHeap::new(),
@@ -301,7 +315,8 @@
                 self.forget_if_done(request);
             }
             Message::Hosts(list) => self.learn(list),
-            Message::DiscoveryFailed => self.decide(Event::DiscoveryFailed),
+            Message::DiscoveryFailed { watch } if watch == self.watch => self.decide(Event::DiscoveryFailed),
+            Message::DiscoveryFailed { .. } => {}
         }
     }
 
@@ -317,8 +332,15 @@
         if list.snapshot {
             // What a whole list lacks is gone.
             self.hosts.iter().for_each(|h| h.takes_work.set(false));
+            self.listed.iter_mut().for_each(|h| h.state = HostState::Removed);
         }
         let news: Vec<ottervane::Host> = list.endpoints.iter().map(|e| self.host(e)).collect();
+        for host in &news {
+            match self.listed.get_mut(host.id.0 as usize) {
+                Some(listed) => *listed = host.clone(),
+                None => self.listed.push(host.clone()),
+            }
+        }
         for host in self.hosts.iter().filter(|h| !h.takes_work.get()) {
             self.pool.close(host.id);
         }
@@ -360,12 +382,31 @@
     /// Has the module decide, and does what it says.
     fn decide(&mut self, event: Event<'_>) {
         let mut actions = Vec::new();
-        self.balancer.handle(self.handle.clock.time(Instant::now()), event, &mut actions);
+        let now = self.handle.clock.time(Instant::now());
+        let deciding = AssertUnwindSafe(|| self.balancer.handle(now, event, &mut actions));
+        if catch_unwind(deciding).is_err() {
+            return self.start_over();
+        }
         for action in actions {
             self.act(action);
         }
     }
 
+    /// Begins anew with a module that knows the hosts only. The one that panicked may have left anything behind, and
+    /// would leave what is held without an answer: all of that fails now.
+    fn start_over(&mut self) {
+        eprintln!("the decision module has panicked: starting it anew");
+        for entry in self.requests.values_mut() {
+            entry.finish(Final::Failed(StatusCode::BAD_GATEWAY));
+            entry.attempts.iter().for_each(|cancel| cancel.notify_one());
+        }
+        self.requests.retain(|_, entry| entry.out > 0);
+        self.timers.clear();
+        self.balancer = Balancer::new(self.settings.clone(), self.seed);
+        let hosts = self.listed.clone();
+        self.decide(Event::Hosts { full: true, hosts: &hosts });
+    }
+
     fn act(&mut self, action: Action) {
         match action {
             Action::Send { request, host, until } => self.send(request, host, until),
@@ -391,7 +432,12 @@
             }
             Action::Close { host } => self.pool.close(host),
             Action::Subscribe => {
-                spawn_local(discovery::watch(self.discovery, self.version, self.handle.clone()));
+                self.watch += 1;
+                let (since, gateway) = (self.version, self.handle.clone());
+                let watching = spawn_local(discovery::watch(self.discovery, since, self.watch, gateway));
+                if let Some(before) = self.watching.replace(watching) {
+                    before.abort();
+                }
             }
         }
     }
--- a/src/bin/ottervane-gateway/hosts.rs
+++ b/src/bin/ottervane-gateway/hosts.rs
@@ -25,7 +25,7 @@
 /// The longest body that either side may send.
 pub const MAX_BODY: usize = 64 << 10;
 /// The most that is read ahead of a head or body on one connection.
-pub const MAX_BUFFER: usize = 96 << 10;
+pub const MAX_BUFFER: usize = 32 << 10;
 
 /// Headers that belong to one connection, or that each side words anew.
 const HOP_BY_HOP: [HeaderName; 8] = [
@@ -271,7 +271,7 @@
             None => self.dial(host, *until).await?,
         };
         // The request may have been answered, and the host begun to drain, while the connection came up.
-        if !open.get() || !host.takes_work.get() {
+        if !open.get() || !host.takes_work.get() || Instant::now() >= *until {
             self.put_back(connection, host).await;
             return Err(Outcome::NotSent);
         }
--- a/src/bin/ottervane-gateway/main.rs
+++ b/src/bin/ottervane-gateway/main.rs
@@ -16,15 +16,12 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::LocalSet;
 
 /// Connections that the kernel holds for us: a burst must find room there.
 const BACKLOG: u32 = 4096;
-/// After SIGTERM new connections come for 0.4 s at most; once none has come for so long, none will.
-const QUIET: Duration = Duration::from_millis(450);
 
 fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
@@ -35,7 +32,7 @@
 
 async fn serve(config: Config) -> Result<(), Box<dyn Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
-    let budget = Budget::new(config.limits.sockets);
+    let budget = Budget::new(&config.limits);
     let (names, classes) = (Rc::new(config.names), config.settings.classes.clone());
     let pool = Rc::new(Pool::new(budget.hosts.clone(), config.dial_timeout, config.keepalive));
     let (mut gateway, handle) =
@@ -44,13 +41,11 @@
     gateway.learn(config.known);
     let server = Rc::new(Server::new(handle, names, classes, &budget));
     eprintln!("listening on {}", listener.local_addr()?);
-    // These four live and die with the process: a panic in one of them ends it, for it would be half alive.
-    let gateway = gateway.run();
-    let sweep = pool.sweep();
-    tokio::pin!(gateway, sweep);
+    // These live and die with the process: a panic in one of them ends it, for it would be half alive.
+    let running = async { tokio::join!(gateway.run(), pool.sweep(), server.feel_pulse()) };
+    tokio::pin!(running);
     tokio::select! {
-        () = gateway.as_mut() => return Err("the gateway has ended".into()),
-        () = sweep.as_mut() => {}
+        _ = running.as_mut() => return Err("the gateway has ended".into()),
         () = server.clone().accept(&listener) => {}
         _ = terminate.recv() => {}
     }
@@ -58,15 +53,14 @@
     let stopping = async {
         tokio::select! {
             () = server.clone().accept(&listener) => {}
-            () = server.stop(QUIET) => {}
+            () = server.stop() => {}
         }
         server.accept_rest(listener)?;
         server.finish().await;
         Ok(())
     };
     tokio::select! {
-        () = gateway => Err("the gateway has ended".into()),
-        () = sweep => Ok(()),
+        _ = running => Err("the gateway has ended".into()),
         stopped = stopping => stopped,
     }
 }
--- a/src/bin/ottervane-gateway/sockets.rs
+++ b/src/bin/ottervane-gateway/sockets.rs
@@ -1,8 +1,12 @@
 //! The budget of descriptors: a fixed share for clients and one for hosts, so that neither starves the other.
 
+use crate::config::Limits;
 use std::cell::Cell;
 use std::rc::Rc;
 
+/// The most memory that a client's connection and its request can hold: a body each way, and both buffers.
+const CLIENT_MEMORY: usize = 256 << 10;
+
 /// Descriptors of the program itself: standard streams, poller, wakers, signals, listener, discovery.
 const OWN: usize = 20;
 
@@ -37,7 +41,7 @@
     }
 }
 
-/// How `sockets` descriptors are shared out.
+/// How the descriptors are shared out.
 pub struct Budget {
     /// Connections of clients.
     pub clients: Slots,
@@ -49,11 +53,13 @@
 }
 
 impl Budget {
-    /// Shares out `sockets` descriptors.
-    pub fn new(sockets: usize) -> Budget {
-        let rest = sockets.saturating_sub(OWN);
-        let (overflow, clients) = (rest / 8, rest / 2);
-        let hosts = rest - overflow - clients;
+    /// Shares out what the limits allow: of the memory, clients together may fill three quarters.
+    pub fn new(limits: &Limits) -> Budget {
+        let rest = limits.sockets.saturating_sub(OWN);
+        let fit = (limits.memory_mb << 20) / 4 * 3 / CLIENT_MEMORY;
+        let overflow = (rest / 8).min(fit / 5);
+        let clients = (rest / 2).min(fit - overflow);
+        let hosts = rest - rest / 8 - rest / 2;
         Budget { clients: Slots::new(clients), overflow: Slots::new(overflow), hosts: Slots::new(hosts) }
     }
 }
--- a/tests/gateway/fakes.rs
+++ b/tests/gateway/fakes.rs
@@ -307,8 +307,8 @@
         self.connect().ask(class)
     }
 
-    pub fn terminate(&self) {
-        let kill = Command::new("sh").arg("-c").arg(format!("kill -TERM {}", self.child.id())).status();
+    pub fn signal(&self, signal: &str) {
+        let kill = Command::new("sh").arg("-c").arg(format!("kill -{signal} {}", self.child.id())).status();
         assert!(kill.expect("a shell").success());
     }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -156,6 +156,20 @@
     wait_for("the host to be left", || host.left.load(Ordering::SeqCst) == 3);
 }
 
+#[test]
+fn counts_the_time_before_it_reads_a_request() {
+    let host = FakeHost::start(|_| Reply::ok("ok"));
+    let (gateway, _discovery) = start("stalled", &[host.entry("s-1", 1)]);
+    let mut client = gateway.connect();
+    assert_eq!(client.ask("look").status(), 200);
+    gateway.signal("STOP");
+    client.write(request("look").replace("40000m", "1000m").as_bytes());
+    sleep(Duration::from_millis(2000));
+    gateway.signal("CONT");
+    assert_eq!(client.read().expect("an answer").status(), 504);
+    assert_eq!(host.count(), 1, "sent when the client's time was up");
+}
+
 #[test]
 fn leaves_the_host_when_the_client_has_gone() {
     let host = FakeHost::start(|_| Reply::Hang);
@@ -258,8 +272,9 @@
     let mut held: Vec<_> = (0..3).map(|_| gateway.connect()).collect();
     held.iter_mut().for_each(|c| c.send("once"));
     wait_for("the attempts", || host.count() == 4);
-    let mut late = gateway.connect();
-    gateway.terminate();
+    let (mut late, mut half) = (gateway.connect(), gateway.connect());
+    half.write(b"GET /look HTTP/1.1\r\n"); // never ends, and must not keep the gateway
+    gateway.signal("TERM");
     late.send("look");
     let answer = late.read().expect("an answer to a connection made before the end");
     assert_eq!((answer.status(), late.read().map(|a| a.first)), (200, None));
@@ -339,6 +354,7 @@
         ("bad-settings", with("settings", json!({"classes": 7}))),
         ("no-class", with("settings", json!({}))),
         ("few-sockets", with("limits", json!({"sockets": 3}))),
+        ("little-memory", with("limits", json!({"memory_mb": 1}))),
     ];
     for (name, text) in bad {
         let mut child = spawn_gateway(name, &text);
