Fail only what a panic touches; let an answer to an overlong body arrive

Cause: a body well beyond 64 KiB was answered 413 and the connection closed on bytes still coming, which resets it, so that a client that writes first and reads then lost the answer (take in clients.rs). Up to 4 MiB or half a second are now read and dropped first. A panic while a request is decided on in its connection's task closed the connection without an answer (serve in clients.rs); it is now a 500 for that request. A unit test covers what follows a panic of the module (start_over in gateway.rs), which can't be had from outside.

--- a/src/bin/ottervane-gateway/clients.rs
+++ b/src/bin/ottervane-gateway/clients.rs
@@ -15,7 +15,11 @@
 use ottervane::{stable_hash, Class, Effect, RequestId};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::future::{poll_fn, Future};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, Notify};
@@ -29,6 +33,9 @@
 /// The answer leaves so long before the client gives up: the way here and back, and a busy machine.
 const AHEAD: Duration = Duration::from_millis(15);
 
+/// So much of a body that is too long is still read, and for so long.
+const DISCARD: usize = 4 << 20;
+const DISCARD_FOR: Duration = Duration::from_millis(500);
 /// The pulse of the event loop: what waits to be read while no pulse comes has waited for as long.
 const PULSE: Duration = Duration::from_millis(10);
 /// After SIGTERM new connections come for 0.4 s at most, and what comes later than 0.7 s need not be answered: the
@@ -187,7 +194,14 @@
             let (server, peer) = (self.clone(), peer.clone());
             async move {
                 peer.idle_since.set(None);
-                let mut response = server.answer(request).await;
+                let mut answering = pin!(server.answer(request));
+                // A panic here fails this request and no other.
+                let mut response = poll_fn(|cx| {
+                    let polling = AssertUnwindSafe(|| answering.as_mut().poll(cx));
+                    catch_unwind(polling)
+                        .unwrap_or_else(|_| Poll::Ready(plain(StatusCode::INTERNAL_SERVER_ERROR, "")))
+                })
+                .await;
                 // A client that stays would have to be cut off at the end.
                 if server.stopping.get() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -274,6 +288,7 @@
             }
             Final::Refused { keep_away } => {
                 let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "try again later\n");
+                // Where the settings let clients be given no advice the module's is zero: they may come at once.
                 if let Ok(after) = HeaderValue::from_str(&keep_away.as_secs_f64().to_string()) {
                     response.headers_mut().insert(header::RETRY_AFTER, after);
                 }
@@ -326,12 +341,7 @@
             repeat: text(headers, "x-retried") == Some("1"),
             give_up_at: self.gateway.time(give_up),
         };
-        let body = match timeout_at(give_up, Limited::new(body, MAX_BODY).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) if error.is::<hyper::Error>() => return Err(Malformed::NoBody),
-            Ok(Err(_)) => return Err(Malformed::TooLong),
-            Err(_) => return Err(Malformed::NoBody),
-        };
+        let body = timeout_at(give_up, whole(body)).await.unwrap_or(Err(Malformed::NoBody))?;
         if Instant::now() >= give_up {
             return Ok(Final::Failed(StatusCode::GATEWAY_TIMEOUT)); // too late to begin
         }
@@ -346,6 +356,27 @@
     }
 }
 
+/// Reads a body to its end. One that is too long is read on for a little: closing the connection on bytes that are
+/// still coming resets it, and the client would lose the answer that says what is wrong.
+async fn whole(mut body: Incoming) -> Result<Bytes, Malformed> {
+    match Limited::new(&mut body, MAX_BODY).collect().await {
+        Ok(body) => return Ok(body.to_bytes()),
+        Err(error) if error.is::<hyper::Error>() => return Err(Malformed::NoBody),
+        Err(_) => {}
+    }
+    let discarding = async {
+        let mut left = DISCARD;
+        while let Some(Ok(frame)) = body.frame().await {
+            left = left.saturating_sub(frame.data_ref().map_or(0, Bytes::len));
+            if left == 0 {
+                return;
+            }
+        }
+    };
+    let _ = timeout(DISCARD_FOR, discarding).await;
+    Err(Malformed::TooLong)
+}
+
 /// Takes a connection off the server's books, however its task ends.
 struct Leaving {
     server: Rc<Server>,
--- a/src/bin/ottervane-gateway/gateway.rs
+++ b/src/bin/ottervane-gateway/gateway.rs
@@ -403,8 +403,12 @@
         self.requests.retain(|_, entry| entry.out > 0);
         self.timers.clear();
         self.balancer = Balancer::new(self.settings.clone(), self.seed);
-        let hosts = self.listed.clone();
-        self.decide(Event::Hosts { full: true, hosts: &hosts });
+        let (mut actions, now) = (Vec::new(), self.handle.clock.time(Instant::now()));
+        // Another panic is not caught: a module that cannot take the list in serves nobody, so the process ends.
+        self.balancer.handle(now, Event::Hosts { full: true, hosts: &self.listed }, &mut actions);
+        for action in actions {
+            self.act(action);
+        }
     }
 
     fn act(&mut self, action: Action) {
@@ -474,3 +478,44 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::sockets::Budget;
+    use tokio::task::LocalSet;
+
+    fn arrival(handle: &Handle) -> (Box<Arrival>, oneshot::Receiver<Final>) {
+        let (answer, answered) = oneshot::channel();
+        let give_up = handle.time(Instant::now()) + Duration::from_secs(20);
+        let request = ottervane::Request::new(handle.next_request(), 0, give_up);
+        let (method, uri) = Default::default();
+        let forward = Forward { method, uri, headers: Default::default(), body: Default::default() };
+        (Box::new(Arrival { request, forward, answer, open: Rc::new(Cell::new(true)) }), answered)
+    }
+
+    /// A panic of the module can't be had from outside; what follows one can.
+    #[tokio::test]
+    async fn starting_over_fails_what_is_held_and_serves_on() {
+        let mut settings = Settings::default();
+        settings.classes.push(ottervane::Class::new(Duration::from_secs(10), Duration::from_secs(30)));
+        let names = Names { classes: vec!["look".into()], tenants: vec![], zones: vec![], kinds: vec![] };
+        let budget = Budget::new(&Default::default());
+        let pool = Rc::new(Pool::new(budget.hosts, Duration::from_secs(5), Duration::from_secs(10)));
+        let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
+        let (mut gateway, handle) = Gateway::new(settings, 1, Rc::new(names), pool, nobody);
+        let list = r#"{"snapshot":true,"endpoints":[{"name":"s-1","address":"127.0.0.1:1"}]}"#;
+        let local = LocalSet::new();
+        let _inside = local.enter();
+        gateway.learn(serde_json::from_str(list).expect("a list"));
+        let (held, mut answered) = arrival(&handle);
+        gateway.take(Message::Arrived(held));
+        assert!(answered.try_recv().is_err(), "nothing has answered it so far");
+        gateway.start_over();
+        assert!(matches!(answered.try_recv(), Ok(Final::Failed(StatusCode::BAD_GATEWAY))));
+        let (next, _answered) = arrival(&handle);
+        let id = next.request.id;
+        gateway.take(Message::Arrived(next));
+        assert_eq!(gateway.requests.get(&id).map(|e| e.out), Some(1), "the hosts are known still");
+    }
+}
