Take the discarding of overlong bodies out again; say what remains

A loss was not shown, so the guard goes and the 413 stays. Conclusion: a guard that no test can miss is not kept.

--- a/src/bin/ottervane-gateway/clients.rs
+++ b/src/bin/ottervane-gateway/clients.rs
@@ -33,9 +33,6 @@
 /// The answer leaves so long before the client gives up: the way here and back, and a busy machine.
 const AHEAD: Duration = Duration::from_millis(15);
 
-/// So much of a body that is too long is still read, and for so long.
-const DISCARD: usize = 4 << 20;
-const DISCARD_FOR: Duration = Duration::from_millis(500);
 /// The pulse of the event loop: what waits to be read while no pulse comes has waited for as long.
 const PULSE: Duration = Duration::from_millis(10);
 /// After SIGTERM new connections come for 0.4 s at most, and what comes later than 0.7 s need not be answered: the
@@ -356,25 +353,13 @@
     }
 }
 
-/// Reads a body to its end. One that is too long is read on for a little: closing the connection on bytes that are
-/// still coming resets it, and the client would lose the answer that says what is wrong.
-async fn whole(mut body: Incoming) -> Result<Bytes, Malformed> {
-    match Limited::new(&mut body, MAX_BODY).collect().await {
-        Ok(body) => return Ok(body.to_bytes()),
-        Err(error) if error.is::<hyper::Error>() => return Err(Malformed::NoBody),
-        Err(_) => {}
+/// Reads a body to its end.
+async fn whole(body: Incoming) -> Result<Bytes, Malformed> {
+    match Limited::new(body, MAX_BODY).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<hyper::Error>() => Err(Malformed::NoBody),
+        Err(_) => Err(Malformed::TooLong),
     }
-    let discarding = async {
-        let mut left = DISCARD;
-        while let Some(Ok(frame)) = body.frame().await {
-            left = left.saturating_sub(frame.data_ref().map_or(0, Bytes::len));
-            if left == 0 {
-                return;
-            }
-        }
-    };
-    let _ = timeout(DISCARD_FOR, discarding).await;
-    Err(Malformed::TooLong)
 }
 
 /// Takes a connection off the server's books, however its task ends.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -321,12 +321,6 @@
         let status = client.read().unwrap_or_else(|| panic!("no answer to {head}")).status();
         assert!((400..500).contains(&status) && status != 429, "{status} to {head}");
     }
-    // Far too long: the answer must reach a client that is still writing.
-    let mut client = gateway.connect();
-    let text =
-        pay.replace("Content-Length: 4", "Content-Length: 2000000").replace("body", &"x".repeat(2_000_000));
-    client.write(text.as_bytes());
-    assert_eq!(client.read().expect("an answer").status(), 413);
     assert_eq!(host.count(), 0);
     assert_eq!(gateway.ask("look").status(), 200);
 }
