Close idle clients only for somebody, refuse at once without room

Cause: Server::accept took the slot for the next connection beforehand, and closed the longest idle client as soon as the clients' share was full, before anyone had come who needed the place. On a busy machine that close crossed a request: hyper ends a connection at once on which nothing has been read. With all others busy the newcomer itself was the idle one and lost its connection. To blame: clients.rs, the or_else in accept. Next to it: connections of the overflow were served like any other, although sockets.rs says that they are only told that there is no room; slow requests could fill them, and accepting stopped.

Checked: a pause of 1.5 s between connecting and sending gave the same failure on the same line.

Mend: an idle connection is closed when a connection of the overflow has come. A request there gets a place of its own if one is free by then; otherwise it is refused before its body is read, with Retry-After within the settings' limit, and its connection closes. Four such places are enough, as each is free again at once; the rest went to clients and hosts.

Before: closes_no_idle_client_while_there_is_room and refuses_at_once_whom_it_has_no_room_for fail (no answer).

--- a/src/bin/ottervane-gateway/clients.rs
+++ b/src/bin/ottervane-gateway/clients.rs
@@ -12,7 +12,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use ottervane::{stable_hash, Class, Effect, RequestId};
+use ottervane::{stable_hash, Class, Effect, RequestId, Settings};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
@@ -33,6 +33,8 @@
 /// The answer leaves so long before the client gives up: the way here and back, and a busy machine.
 const AHEAD: Duration = Duration::from_millis(15);
 
+/// Who found no room is told to come back after so long, where the settings allow it.
+const ROOM_AGAIN: Duration = Duration::from_secs(1);
 /// The pulse of the event loop: what waits to be read while no pulse comes has waited for as long.
 const PULSE: Duration = Duration::from_millis(10);
 /// After SIGTERM new connections come for 0.4 s at most, and what comes later than 0.7 s need not be answered: the
@@ -75,8 +77,9 @@
 }
 
 /// A connection from a client, as far as the others may know.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Peer {
+    slot: RefCell<Slot>,
     idle_since: Cell<Option<Instant>>,
     closing: Cell<bool>,
     close: Notify,
@@ -87,6 +90,7 @@
     gateway: Handle,
     names: Rc<Names>,
     classes: Vec<Class>,
+    keep_away: Duration,
     clients: Slots,
     overflow: Slots,
     peers: RefCell<Vec<Rc<Peer>>>,
@@ -115,11 +119,12 @@
 
 impl Server {
     /// A server that takes requests in for the gateway.
-    pub fn new(gateway: Handle, names: Rc<Names>, classes: Vec<Class>, budget: &Budget) -> Server {
+    pub fn new(gateway: Handle, names: Rc<Names>, settings: &Settings, budget: &Budget) -> Server {
         Server {
             gateway,
             names,
-            classes,
+            classes: settings.classes.clone(),
+            keep_away: ROOM_AGAIN.min(settings.max_keep_away),
             clients: budget.clients.clone(),
             overflow: budget.overflow.clone(),
             peers: RefCell::default(),
@@ -132,14 +137,12 @@
     }
 
     /// Accepts connections for as long as it runs. What waits in the kernel is taken already, so it never waits
-    /// for anything but a connection or, with every last descriptor in use, the end of one.
+    /// for anything but a connection or, with every last descriptor in use, the end of one. Idle connections are
+    /// closed once there is somebody who needs their place, and not before: a close may cross a request.
     pub async fn accept(self: Rc<Self>, listener: &TcpListener) {
         loop {
-            let slot = self.clients.take().or_else(|| {
+            let Some(slot) = self.clients.take().or_else(|| self.overflow.take()) else {
                 self.close_idle();
-                self.overflow.take()
-            });
-            let Some(slot) = slot else {
                 self.left.notified().await;
                 continue;
             };
@@ -151,6 +154,9 @@
                     continue;
                 }
             };
+            if self.overflow.include(&slot) {
+                self.close_idle();
+            }
             self.welcome(stream, slot);
         }
     }
@@ -168,10 +174,10 @@
 
     fn welcome(self: &Rc<Self>, stream: TcpStream, slot: Slot) {
         self.accepted.set(Instant::now());
-        let peer = Rc::new(Peer::default());
-        peer.idle_since.set(Some(Instant::now()));
+        let (slot, idle_since) = (RefCell::new(slot), Cell::new(Some(Instant::now())));
+        let peer = Rc::new(Peer { slot, idle_since, closing: Cell::default(), close: Notify::new() });
         self.peers.borrow_mut().push(peer.clone());
-        spawn_local(self.clone().serve(stream, peer, slot));
+        spawn_local(self.clone().serve(stream, peer));
     }
 
     /// Has the connection closed that has been idle for longest.
@@ -184,14 +190,26 @@
         }
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream, peer: Rc<Peer>, slot: Slot) {
+    /// Whether the connection has a place of its own; one of the overflow gets one as soon as one is free.
+    fn has_room(&self, peer: &Peer) -> bool {
+        if !self.overflow.include(&peer.slot.borrow()) {
+            return true;
+        }
+        let Some(slot) = self.clients.take() else { return false };
+        peer.slot.replace(slot);
+        self.left.notify_one(); // its old place is free
+        true
+    }
+
+    async fn serve(self: Rc<Self>, stream: TcpStream, peer: Rc<Peer>) {
         let _ = stream.set_nodelay(true);
-        let _leaving = Leaving { server: self.clone(), peer: peer.clone(), _slot: slot };
+        let _leaving = Leaving { server: self.clone(), peer: peer.clone() };
         let service = service_fn(|request| {
             let (server, peer) = (self.clone(), peer.clone());
             async move {
                 peer.idle_since.set(None);
-                let mut answering = pin!(server.answer(request));
+                let room = server.has_room(&peer);
+                let mut answering = pin!(server.answer(request, room));
                 // A panic here fails this request and no other.
                 let mut response = poll_fn(|cx| {
                     let polling = AssertUnwindSafe(|| answering.as_mut().poll(cx));
@@ -199,8 +217,8 @@
                         .unwrap_or_else(|_| Poll::Ready(plain(StatusCode::INTERNAL_SERVER_ERROR, "")))
                 })
                 .await;
-                // A client that stays would have to be cut off at the end.
-                if server.stopping.get() {
+                // A client that stays would have to be cut off at the end, or keep the next one out.
+                if server.stopping.get() || !room {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
                 peer.idle_since.set(Some(Instant::now()));
@@ -264,12 +282,17 @@
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn answer(&self, request: Request<Incoming>, room: bool) -> Response<Full<Bytes>> {
         let came = Instant::now() - self.waited();
         if request.uri().path() == "/health/ready" {
             let ready = self.gateway.hosts_up() && !self.stopping.get();
             return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
+        if !room {
+            // Held requests have all other places. This one has gone nowhere, and waiting here would keep those
+            // out that come after it and are taken already, so it is refused before its body is read.
+            return self.respond(Final::Refused { keep_away: self.keep_away });
+        }
         match self.take(request, came).await {
             Ok(answer) => self.respond(answer),
             Err(malformed) => plain(malformed.status(), &format!("{malformed}\n")),
@@ -366,7 +389,6 @@
 struct Leaving {
     server: Rc<Server>,
     peer: Rc<Peer>,
-    _slot: Slot,
 }
 
 impl Drop for Leaving {
--- a/src/bin/ottervane-gateway/main.rs
+++ b/src/bin/ottervane-gateway/main.rs
@@ -33,13 +33,13 @@
 async fn serve(config: Config) -> Result<(), Box<dyn Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let budget = Budget::new(&config.limits);
-    let (names, classes) = (Rc::new(config.names), config.settings.classes.clone());
+    let (names, settings) = (Rc::new(config.names), config.settings.clone());
     let pool = Rc::new(Pool::new(budget.hosts.clone(), config.dial_timeout, config.keepalive));
     let (mut gateway, handle) =
         Gateway::new(config.settings, config.seed, names.clone(), pool.clone(), config.discovery);
     let listener = listen(config.listen)?;
     gateway.learn(config.known);
-    let server = Rc::new(Server::new(handle, names, classes, &budget));
+    let server = Rc::new(Server::new(handle, names, &settings, &budget));
     eprintln!("listening on {}", listener.local_addr()?);
     // These live and die with the process: a panic in one of them ends it, for it would be half alive.
     let running = async { tokio::join!(gateway.run(), pool.sweep(), server.feel_pulse()) };
--- a/src/bin/ottervane-gateway/sockets.rs
+++ b/src/bin/ottervane-gateway/sockets.rs
@@ -10,6 +10,9 @@
 /// Descriptors of the program itself: standard streams, poller, wakers, signals, listener, discovery.
 const OWN: usize = 20;
 
+/// Descriptors for clients that are only told that there is no room: few, for such a connection is over at once.
+const OVERFLOW: usize = 4;
+
 /// A number of descriptors that may be open at once.
 #[derive(Clone, Debug)]
 pub struct Slots {
@@ -29,6 +32,11 @@
             Slot(self.open.clone())
         })
     }
+
+    /// Whether the descriptor is one of these.
+    pub fn include(&self, slot: &Slot) -> bool {
+        Rc::ptr_eq(&self.open, &slot.0)
+    }
 }
 
 /// A descriptor taken; given back when it is dropped.
@@ -57,9 +65,8 @@
     pub fn new(limits: &Limits) -> Budget {
         let rest = limits.sockets.saturating_sub(OWN);
         let fit = (limits.memory_mb << 20) / 4 * 3 / CLIENT_MEMORY;
-        let overflow = (rest / 8).min(fit / 5);
-        let clients = (rest / 2).min(fit - overflow);
-        let hosts = rest - rest / 8 - rest / 2;
-        Budget { clients: Slots::new(clients), overflow: Slots::new(overflow), hosts: Slots::new(hosts) }
+        let clients = (rest / 2).min(fit.saturating_sub(OVERFLOW));
+        let hosts = (rest - rest / 2).saturating_sub(OVERFLOW);
+        Budget { clients: Slots::new(clients), overflow: Slots::new(OVERFLOW), hosts: Slots::new(hosts) }
     }
 }
