Leave a new client the time to bring its first request

A probe in the log showed connections closed for want of room within milliseconds of being accepted.

Cause: Server::close_idle counted a connection that had never carried a request as idle. Clients know that a close between requests may cross the next one; who loses the first has lost it. Lines to blame: the filter in close_idle, and accept, which called it without pause.

Mend: a new connection has 500 ms before it may be closed for room; with every descriptor in use accept looks again every 20 ms. The overflow grows with the limit (a sixteenth, four at least), so that bursts find room.

Ruled out: requests that wait already when the connection is accepted are read in time (60 and 20 of them, gateway stopped meanwhile: all answered).

--- a/src/bin/ottervane-gateway/clients.rs
+++ b/src/bin/ottervane-gateway/clients.rs
@@ -33,6 +33,10 @@
 /// The answer leaves so long before the client gives up: the way here and back, and a busy machine.
 const AHEAD: Duration = Duration::from_millis(15);
 
+/// A new connection may take so long to bring a request before it has to make room.
+const NEW: Duration = Duration::from_millis(500);
+/// With every descriptor in use it is looked for one to close this often.
+const CLOSE_AGAIN: Duration = Duration::from_millis(20);
 /// Who found no room is told to come back after so long, where the settings allow it.
 const ROOM_AGAIN: Duration = Duration::from_secs(1);
 /// The pulse of the event loop: what waits to be read while no pulse comes has waited for as long.
@@ -81,6 +85,7 @@
 struct Peer {
     slot: RefCell<Slot>,
     idle_since: Cell<Option<Instant>>,
+    new: Cell<bool>,
     closing: Cell<bool>,
     close: Notify,
 }
@@ -143,7 +148,8 @@
         loop {
             let Some(slot) = self.clients.take().or_else(|| self.overflow.take()) else {
                 self.close_idle();
-                self.left.notified().await;
+                // Nothing tells when a new connection has had its time.
+                let _ = timeout(CLOSE_AGAIN, self.left.notified()).await;
                 continue;
             };
             let stream = match listener.accept().await {
@@ -175,15 +181,19 @@
     fn welcome(self: &Rc<Self>, stream: TcpStream, slot: Slot) {
         self.accepted.set(Instant::now());
         let (slot, idle_since) = (RefCell::new(slot), Cell::new(Some(Instant::now())));
-        let peer = Rc::new(Peer { slot, idle_since, closing: Cell::default(), close: Notify::new() });
+        let (new, closing, close) = (Cell::new(true), Cell::new(false), Notify::new());
+        let peer = Rc::new(Peer { slot, idle_since, new, closing, close });
         self.peers.borrow_mut().push(peer.clone());
         spawn_local(self.clone().serve(stream, peer));
     }
 
-    /// Has the connection closed that has been idle for longest.
+    /// Has the connection closed that has been idle for longest. A new one is left the time to bring its first
+    /// request: clients know that a close may cross a later one, but who loses the first has lost it.
     fn close_idle(&self) {
         let peers = self.peers.borrow();
-        let idle = peers.iter().filter(|p| p.idle_since.get().is_some() && !p.closing.get());
+        let settled = |since: Instant, new: bool| !new || since.elapsed() >= NEW;
+        let idle = peers.iter().filter(|p| !p.closing.get());
+        let idle = idle.filter(|p| p.idle_since.get().is_some_and(|since| settled(since, p.new.get())));
         if let Some(peer) = idle.min_by_key(|p| p.idle_since.get()) {
             peer.closing.set(true);
             peer.close.notify_one();
@@ -208,6 +218,7 @@
             let (server, peer) = (self.clone(), peer.clone());
             async move {
                 peer.idle_since.set(None);
+                peer.new.set(false);
                 let room = server.has_room(&peer);
                 let mut answering = pin!(server.answer(request, room));
                 // A panic here fails this request and no other.
--- a/src/bin/ottervane-gateway/sockets.rs
+++ b/src/bin/ottervane-gateway/sockets.rs
@@ -10,7 +10,7 @@
 /// Descriptors of the program itself: standard streams, poller, wakers, signals, listener, discovery.
 const OWN: usize = 20;
 
-/// Descriptors for clients that are only told that there is no room: few, for such a connection is over at once.
+/// The fewest descriptors for clients that are only told that there is no room.
 const OVERFLOW: usize = 4;
 
 /// A number of descriptors that may be open at once.
@@ -65,8 +65,9 @@
     pub fn new(limits: &Limits) -> Budget {
         let rest = limits.sockets.saturating_sub(OWN);
         let fit = (limits.memory_mb << 20) / 4 * 3 / CLIENT_MEMORY;
-        let clients = (rest / 2).min(fit.saturating_sub(OVERFLOW));
-        let hosts = (rest - rest / 2).saturating_sub(OVERFLOW);
-        Budget { clients: Slots::new(clients), overflow: Slots::new(OVERFLOW), hosts: Slots::new(hosts) }
+        let overflow = (rest / 16).max(OVERFLOW).min(fit / 5);
+        let clients = (rest / 2).min(fit.saturating_sub(overflow));
+        let hosts = (rest - rest / 2).saturating_sub(overflow);
+        Budget { clients: Slots::new(clients), overflow: Slots::new(overflow), hosts: Slots::new(hosts) }
     }
 }
