Free places with an answer, not with a close that crosses a request

None of the lost requests was among those that were refused.

Cause: with 15 places for some 500 requests a second every connection is idle for milliseconds only, and close_idle in clients.rs kept closing the one that was idle for longest; now and then the close crossed a request.

Mend: while more clients are connected than have places, answers say Connection: close, and only what has been idle for 100 ms is closed.

--- a/src/bin/ottervane-gateway/clients.rs
+++ b/src/bin/ottervane-gateway/clients.rs
@@ -35,6 +35,8 @@
 
 /// A new connection may take so long to bring a request before it has to make room.
 const NEW: Duration = Duration::from_millis(500);
+/// A connection that has been idle for so long may be closed to make room.
+const SETTLED: Duration = Duration::from_millis(100);
 /// With every descriptor in use it is looked for one to close this often.
 const CLOSE_AGAIN: Duration = Duration::from_millis(20);
 /// Who found no room is told to come back after so long, where the settings allow it.
@@ -187,11 +189,12 @@
         spawn_local(self.clone().serve(stream, peer));
     }
 
-    /// Has the connection closed that has been idle for longest. A new one is left the time to bring its first
-    /// request: clients know that a close may cross a later one, but who loses the first has lost it.
+    /// Has the connection closed that has been idle for longest. A close may cross a request that is on its way, so
+    /// one that is in use all the time is left alone, and a new one has the time to bring its first request: a
+    /// client knows that it may have to send a later one again, but not the first.
     fn close_idle(&self) {
         let peers = self.peers.borrow();
-        let settled = |since: Instant, new: bool| !new || since.elapsed() >= NEW;
+        let settled = |since: Instant, new: bool| since.elapsed() >= if new { NEW } else { SETTLED };
         let idle = peers.iter().filter(|p| !p.closing.get());
         let idle = idle.filter(|p| p.idle_since.get().is_some_and(|since| settled(since, p.new.get())));
         if let Some(peer) = idle.min_by_key(|p| p.idle_since.get()) {
@@ -200,6 +203,11 @@
         }
     }
 
+    /// Whether more clients are here than have a place of their own.
+    fn crowded(&self) -> bool {
+        self.peers.borrow().len() > self.clients.most()
+    }
+
     /// Whether the connection has a place of its own; one of the overflow gets one as soon as one is free.
     fn has_room(&self, peer: &Peer) -> bool {
         if !self.overflow.include(&peer.slot.borrow()) {
@@ -228,8 +236,9 @@
                         .unwrap_or_else(|_| Poll::Ready(plain(StatusCode::INTERNAL_SERVER_ERROR, "")))
                 })
                 .await;
-                // A client that stays would have to be cut off at the end, or keep the next one out.
-                if server.stopping.get() || !room {
+                // A client that stays would have to be cut off at the end, or keep the next one out. Where
+                // more have come than have places, this frees one without a close that crosses a request.
+                if server.stopping.get() || !room || server.crowded() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
                 peer.idle_since.set(Some(Instant::now()));
--- a/src/bin/ottervane-gateway/sockets.rs
+++ b/src/bin/ottervane-gateway/sockets.rs
@@ -33,6 +33,11 @@
         })
     }
 
+    /// How many there are.
+    pub fn most(&self) -> usize {
+        self.most
+    }
+
     /// Whether the descriptor is one of these.
     pub fn include(&self, slot: &Slot) -> bool {
         Rc::ptr_eq(&self.open, &slot.0)
