Turn to the new discovery on SIGHUP instead of dying of it

Cause: main.rs caught SIGTERM only. Two more faults would have followed: Config::from_env lets ROUTER_DISCOVERY win over the file's new word, and the version of the old discovery was sent to the new one (gateway.rs, Subscribe).

Mend: both handlers stand before the configuration is read. On SIGHUP the file alone is read; another address ends the watch, forgets the version, and has the module decide when to ask. News carry their watch's number: what an ended one left in the channel is not believed. A bad file is one line in the log.

Checked: the log shows each turn to a new address, no error after it; a second SIGHUP, and one during the end, change nothing. The new test fails without the handler.

--- a/src/bin/ottervane-gateway/config.rs
+++ b/src/bin/ottervane-gateway/config.rs
@@ -152,15 +152,36 @@
 }
 
 impl Config {
-    /// Reads the configuration that the environment names.
-    pub fn from_env() -> Result<Config, ConfigError> {
+    /// Reads the configuration at the start: the variables win over the file.
+    pub fn at_start() -> Result<Config, ConfigError> {
+        Config::read(|key, from_file| {
+            let variable = if key == "listen" { "ROUTER_LISTEN" } else { "ROUTER_DISCOVERY" };
+            env::var(variable).map_or((key, from_file), |value| (variable, value))
+        })
+    }
+
+    /// Reads the file once more. The variables are as old as the process, so the file's new word holds.
+    pub fn again() -> Result<Config, ConfigError> {
+        Config::read(|key, from_file| (key, from_file))
+    }
+
+    /// Reads the file; `choose` gives the name and the text that hold for the address with a key.
+    fn read(choose: impl Fn(&'static str, String) -> (&'static str, String)) -> Result<Config, ConfigError> {
         let path = env::var("ROUTER_CONFIG").map_err(|_| ConfigError::NotSet)?;
         let text = fs::read_to_string(&path)
             .map_err(|source| ConfigError::Unreadable { path: path.clone(), source })?;
-        Config::parse(&path, &text)
+        Config::parse(&path, &text, choose)
     }
 
-    fn parse(path: &str, text: &str) -> Result<Config, ConfigError> {
+    fn parse(
+        path: &str,
+        text: &str,
+        choose: impl Fn(&'static str, String) -> (&'static str, String),
+    ) -> Result<Config, ConfigError> {
+        let address = |key, from_file| {
+            let (name, value) = choose(key, from_file);
+            value.parse().map_err(|_| ConfigError::Address { name, value })
+        };
         let malformed = |source| ConfigError::Malformed { path: path.to_owned(), source };
         let raw: RawConfig = serde_json::from_str(text).map_err(malformed)?;
         let settings = parse_settings(raw.settings.get()).map_err(malformed)?;
@@ -178,8 +199,8 @@
         }
         let plain = |list: Vec<Named>| list.into_iter().map(|n| n.name).collect();
         Ok(Config {
-            listen: address("listen", "ROUTER_LISTEN", raw.listen)?,
-            discovery: address("discovery", "ROUTER_DISCOVERY", raw.discovery)?,
+            listen: address("listen", raw.listen)?,
+            discovery: address("discovery", raw.discovery)?,
             seed: stable_hash(&raw.seed),
             limits: raw.limits,
             known: raw.known,
@@ -202,9 +223,3 @@
         _ => Err(ConfigError::Unusable(format!("{name}: {value} is not a time"))),
     }
 }
-
-/// The address that the variable gives, or else the file.
-fn address(key: &'static str, variable: &'static str, from_file: String) -> Result<SocketAddr, ConfigError> {
-    let (name, value) = env::var(variable).map_or((key, from_file), |v| (variable, v));
-    value.parse().map_err(|_| ConfigError::Address { name, value })
-}
--- a/src/bin/ottervane-gateway/discovery.rs
+++ b/src/bin/ottervane-gateway/discovery.rs
@@ -117,12 +117,12 @@
 /// `watch`.
 pub async fn watch(address: SocketAddr, since: u64, watch: u64, gateway: Handle) {
     let ended = Ended { gateway, watch };
-    if let Err(error) = follow(address, since, &ended.gateway).await {
-        eprintln!("discovery: watch from version {since}: {error}");
+    if let Err(error) = follow(address, since, watch, &ended.gateway).await {
+        eprintln!("discovery: watch on {address} from version {since}: {error}");
     }
 }
 
-async fn follow(address: SocketAddr, since: u64, gateway: &Handle) -> Result<(), WatchError> {
+async fn follow(address: SocketAddr, since: u64, watch: u64, gateway: &Handle) -> Result<(), WatchError> {
     let opening = async {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
@@ -154,10 +154,12 @@
             while let Some(end) = text.iter().position(|&b| b == b'\n') {
                 let line: Vec<u8> = text.drain(..=end).collect();
                 if !line.trim_ascii().is_empty() {
-                    gateway.tell(Message::Hosts(serde_json::from_slice(&line)?));
+                    let list = serde_json::from_slice(&line)?;
+                    gateway.tell(Message::Hosts { watch, list });
                 } else if first {
                     // Each call is owed an answer, also where nothing has changed.
-                    gateway.tell(Message::Hosts(List { index: since, ..List::default() }));
+                    let list = List { index: since, ..List::default() };
+                    gateway.tell(Message::Hosts { watch, list });
                 }
                 first = false;
             }
--- a/src/bin/ottervane-gateway/gateway.rs
+++ b/src/bin/ottervane-gateway/gateway.rs
@@ -67,10 +67,17 @@
         answer: Option<Answer>,
     },
     /// News of the hosts.
-    Hosts(List),
+    Hosts {
+        /// From which watch, counted from 1.
+        watch: u64,
+        /// What it said.
+        list: List,
+    },
+    /// Discovery is to be asked at this address from now on.
+    Discovery(SocketAddr),
     /// A watch on the hosts has failed or ended.
     DiscoveryFailed {
-        /// Which, counted from 1.
+        /// Which.
         watch: u64,
     },
 }
@@ -314,9 +321,27 @@
                 self.decide(Event::Outcome { request, attempt, latency, outcome, over });
                 self.forget_if_done(request);
             }
-            Message::Hosts(list) => self.learn(list),
-            Message::DiscoveryFailed { watch } if watch == self.watch => self.decide(Event::DiscoveryFailed),
-            Message::DiscoveryFailed { .. } => {}
+            // What a watch said before it was ended may wait here still: it is no news of the present discovery.
+            Message::Hosts { watch, list } if watch == self.watch => self.learn(list),
+            Message::DiscoveryFailed { watch } if watch == self.watch => self.lose_watch(),
+            Message::Hosts { .. } | Message::DiscoveryFailed { .. } => {}
+            Message::Discovery(address) => self.rediscover(address),
+        }
+    }
+
+    /// Ends the watch, if there is one, and has the module decide when to begin the next.
+    fn lose_watch(&mut self) {
+        let Some(watching) = self.watching.take() else { return };
+        watching.abort();
+        self.watch += 1; // nobody has this number, so whatever the old one still has to say is late
+        self.decide(Event::DiscoveryFailed);
+    }
+
+    /// Turns to another discovery. Its versions are its own, so the whole list is asked for.
+    fn rediscover(&mut self, address: SocketAddr) {
+        if address != self.discovery {
+            (self.discovery, self.version) = (address, 0);
+            self.lose_watch();
         }
     }
 
--- a/src/bin/ottervane-gateway/main.rs
+++ b/src/bin/ottervane-gateway/main.rs
@@ -9,7 +9,7 @@
 
 use clients::Server;
 use config::Config;
-use gateway::Gateway;
+use gateway::{Gateway, Handle, Message};
 use hosts::Pool;
 use sockets::Budget;
 use std::error::Error;
@@ -17,7 +17,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::LocalSet;
 
 /// Connections that the kernel holds for us: a burst must find room there.
@@ -30,8 +30,24 @@
     socket.listen(BACKLOG)
 }
 
-async fn serve(config: Config) -> Result<(), Box<dyn Error>> {
-    let mut terminate = signal(SignalKind::terminate())?;
+/// Turns to the discovery that the file of the configuration names whenever SIGHUP comes. All else in that file holds
+/// from a start on.
+async fn reload(mut hang_up: Signal, gateway: Handle) {
+    while hang_up.recv().await.is_some() {
+        match Config::again() {
+            Ok(config) => {
+                eprintln!("SIGHUP: discovery is at {}", config.discovery);
+                gateway.tell(Message::Discovery(config.discovery));
+            }
+            Err(error) => eprintln!("SIGHUP: going on as before: {error}"),
+        }
+    }
+}
+
+async fn serve() -> Result<(), Box<dyn Error>> {
+    // Before anything else: by default either signal ends the process.
+    let (mut terminate, hang_up) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+    let config = Config::at_start()?;
     let budget = Budget::new(&config.limits);
     let (names, settings) = (Rc::new(config.names), config.settings.clone());
     let pool = Rc::new(Pool::new(budget.hosts.clone(), config.dial_timeout, config.keepalive));
@@ -39,10 +55,11 @@
         Gateway::new(config.settings, config.seed, names.clone(), pool.clone(), config.discovery);
     let listener = listen(config.listen)?;
     gateway.learn(config.known);
+    let reloading = reload(hang_up, handle.clone());
     let server = Rc::new(Server::new(handle, names, &settings, &budget));
     eprintln!("listening on {}", listener.local_addr()?);
     // These live and die with the process: a panic in one of them ends it, for it would be half alive.
-    let running = async { tokio::join!(gateway.run(), pool.sweep(), server.feel_pulse()) };
+    let running = async { tokio::join!(gateway.run(), pool.sweep(), server.feel_pulse(), reloading) };
     tokio::pin!(running);
     tokio::select! {
         _ = running.as_mut() => return Err("the gateway has ended".into()),
@@ -66,9 +83,8 @@
 }
 
 fn run() -> Result<(), Box<dyn Error>> {
-    let config = Config::from_env()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, serve(config))
+    LocalSet::new().block_on(&runtime, serve())
 }
 
 fn main() -> ExitCode {
--- a/tests/gateway/fakes.rs
+++ b/tests/gateway/fakes.rs
@@ -190,6 +190,8 @@
     /// The request lines of all calls.
     pub calls: Arc<Mutex<Vec<String>>>,
     pub silent: Arc<AtomicBool>,
+    /// How many watches the other side has ended.
+    pub ended: Arc<AtomicUsize>,
     lines: Arc<Mutex<Vec<Sender<String>>>>,
 }
 
@@ -197,8 +199,8 @@
     pub fn start() -> FakeDiscovery {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        let discovery =
-            FakeDiscovery { address, calls: Arc::default(), silent: Arc::default(), lines: Arc::default() };
+        let (calls, silent, ended, lines) = Default::default();
+        let discovery = FakeDiscovery { address, calls, silent, ended, lines };
         let me = discovery.clone();
         spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -223,6 +225,7 @@
             let chunk = format!("{:x}\r\n{line}\r\n", line.len());
             let silent = self.silent.load(Ordering::SeqCst);
             if !silent && stream.write_all(chunk.as_bytes()).is_err() {
+                self.ended.fetch_add(1, Ordering::SeqCst);
                 return;
             }
         }
@@ -271,25 +274,42 @@
 
 /// Starts the built program on a configuration file with this text.
 pub fn spawn_gateway(name: &str, text: &str) -> Child {
-    let path = format!("{}/{name}.json", env!("CARGO_TARGET_TMPDIR"));
-    std::fs::write(&path, text).expect("a file");
-    Command::new(env!("CARGO_BIN_EXE_ottervane-gateway"))
-        .env_remove("ROUTER_LISTEN")
-        .env_remove("ROUTER_DISCOVERY")
-        .env("ROUTER_CONFIG", path)
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the built gateway")
+    command(name, text).spawn().expect("the built gateway")
+}
+
+fn command(name: &str, text: &str) -> Command {
+    write_config(name, text);
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ottervane-gateway"));
+    command.env_remove("ROUTER_LISTEN").env_remove("ROUTER_DISCOVERY");
+    command.env("ROUTER_CONFIG", config_path(name)).stderr(Stdio::piped());
+    command
+}
+
+fn config_path(name: &str) -> String {
+    format!("{}/{name}.json", env!("CARGO_TARGET_TMPDIR"))
+}
+
+/// Puts another file in the place of the configuration.
+pub fn write_config(name: &str, text: &str) {
+    let new = format!("{}.new", config_path(name));
+    std::fs::write(&new, text).expect("a file");
+    std::fs::rename(new, config_path(name)).expect("a file in its place");
+}
+
+/// A configuration with this discovery, limit and known hosts.
+pub fn config(discovery: &str, sockets: usize, known: &[Value]) -> Value {
+    json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "discovery": discovery,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+        "known": {"index": 41, "snapshot": true, "endpoints": known}, "settings": settings()})
 }
 
 impl Gateway {
     /// Starts a gateway that knows these hosts, and waits until it is ready.
     pub fn start(name: &str, discovery: &FakeDiscovery, sockets: usize, known: &[Value]) -> Gateway {
-        let config = json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
-            "discovery": discovery.address.to_string(),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
-            "known": {"index": 41, "snapshot": true, "endpoints": known}, "settings": settings()});
-        let mut child = spawn_gateway(name, &config.to_string());
+        // The variable wins over the file at the start: nobody is at the file's address.
+        let mut command = command(name, &config("127.0.0.1:1", sockets, known).to_string());
+        command.env("ROUTER_DISCOVERY", discovery.address.to_string());
+        let mut child = command.spawn().expect("the built gateway");
         let mut log = BufReader::new(child.stderr.take().expect("a log")).lines().map_while(Result::ok);
         let address = log.find_map(|l| l.strip_prefix("listening on ").map(str::to_owned));
         spawn(move || log.for_each(|line| eprintln!("gateway: {line}")));
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,8 +4,8 @@
 mod fakes;
 
 use fakes::{
-    entry, refusing, request, settings, spawn_gateway, wait_for, Client, FakeDiscovery, FakeHost, Gateway,
-    Reply,
+    config, entry, refusing, request, settings, spawn_gateway, wait_for, write_config, Client, FakeDiscovery,
+    FakeHost, Gateway, Reply,
 };
 use serde_json::{json, Value};
 use std::io::Read;
@@ -242,6 +242,38 @@
     assert_eq!(calls[1], "GET /registry/instances?follow=1&since=57 HTTP/1.1");
 }
 
+#[test]
+fn turns_to_the_discovery_of_the_new_file_on_sighup() {
+    let [old, new] = [(); 2].map(|()| FakeHost::start(|_| Reply::ok("ok")));
+    let (mut gateway, discovery) = start("reload", &[old.entry("s-1", 1)]);
+    let mut client = gateway.connect();
+    assert_eq!(client.ask("look").status(), 200);
+    wait_for("the first watch", || discovery.calls() > 0);
+    // A file that can't be used changes nothing, and ends nothing.
+    for bad in ["{".to_owned(), config("nowhere", 1024, &[]).to_string()] {
+        write_config("reload", &bad);
+        gateway.signal("HUP");
+        assert_eq!(client.ask("look").status(), 200);
+    }
+    let next = FakeDiscovery::start();
+    write_config("reload", &config(&next.address.to_string(), 1024, &[]).to_string());
+    gateway.signal("HUP");
+    gateway.signal("HUP");
+    wait_for("a watch on the new one", || next.calls() > 0);
+    wait_for("the end of the old watch", || discovery.ended.load(Ordering::SeqCst) > 0);
+    // The versions of the one mean nothing to the other.
+    let call = next.calls.lock().expect("lock")[0].clone();
+    assert_eq!(call, "GET /registry/instances?follow=1&since=0 HTTP/1.1");
+    next.push(json!({"index": 3, "snapshot": true, "endpoints": [new.entry("s-2", 1)]}));
+    wait_for("the list to be known", || client.ask("look").status() == 200 && new.count() > 0);
+    let before = old.count();
+    assert_eq!(client.ask("look").status(), 200);
+    assert_eq!(old.count(), before);
+    gateway.signal("TERM");
+    gateway.signal("HUP");
+    assert!(gateway.wait().success());
+}
+
 #[test]
 fn serves_more_clients_than_it_has_sockets() {
     let host = FakeHost::start(|_| Reply::ok("ok"));
