Turn bad clients away within 2 s, one id once, no request hidden in a body

Causes: clients.rs, take: no look at Transfer-Encoding (hyper drops the length where the coding stands first, so the header map shows one of two), repeated headers or ids in use; all end-to-end headers were passed on; IDLE served as the time for a head too, for hyper's timer runs from the end of the answer.

Mends: any Transfer-Encoding is answered 411, a body longer than 64 KiB 413 at its head, repeated ids, keys, lengths, classes and time-outs 400, each with a close, so that nothing behind it is read. The gateway keeps the ids of open requests and of attempts still out: 409 for a second one. A stream (wire.rs) marks when bytes came; a head that is not whole after 2 s is cut off, what merely rests stays 75 s, or 2 s while a quarter of the places is all that is left. Hosts get the headers that the protocol names.

Left open: half a head sent together with a whole request is taken for rest.

--- a/src/bin/ottervane-gateway/clients.rs
+++ b/src/bin/ottervane-gateway/clients.rs
@@ -2,16 +2,17 @@
 
 use crate::config::Names;
 use crate::gateway::{Arrival, Final, Handle, Message};
-use crate::hosts::{strip_hop_by_hop, Forward, MAX_BODY, MAX_BUFFER};
+use crate::hosts::{Forward, MAX_BODY, MAX_BUFFER};
 use crate::sockets::{Budget, Slot, Slots};
+use crate::wire::{Marks, Wire};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::body::{Body, Incoming};
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use ottervane::{stable_hash, Class, Effect, RequestId, Settings};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
@@ -26,8 +27,17 @@
 use tokio::task::spawn_local;
 use tokio::time::{timeout, timeout_at, Instant};
 
-/// A client that sends no head for so long, or keeps a connection idle for so long, loses it.
+/// A client that keeps a connection idle for so long loses it.
 const IDLE: Duration = Duration::from_secs(75);
+/// A head is whole so long after its first byte; the first one, so long after the connection was accepted. Else a
+/// few clients that say nothing, or never come to an end, would keep all the others out.
+const HEAD: Duration = Duration::from_secs(2);
+/// A body is whole so long after its head.
+const BODY: Duration = Duration::from_secs(2);
+/// This often it is looked for connections whose time is over.
+const SWEEP: Duration = Duration::from_millis(200);
+/// While few places are left, what has been idle for so long is closed.
+const IDLE_IN_A_CROWD: Duration = Duration::from_secs(2);
 /// A connection that is to be closed may take so long over a message that is under way.
 const LINGER: Duration = Duration::from_secs(1);
 /// The answer leaves so long before the client gives up: the way here and back, and a busy machine.
@@ -48,11 +58,33 @@
 const LISTEN_ON: (Duration, Duration) = (Duration::from_millis(450), Duration::from_millis(650));
 const QUIET: Duration = Duration::from_millis(200);
 
+/// What goes on to hosts: the headers that the protocol names. Nothing else that a client says is theirs to read.
+const PASSED_ON: [HeaderName; 9] = [
+    header::HOST,
+    header::COOKIE,
+    HeaderName::from_static("x-request-id"),
+    HeaderName::from_static("x-priority-class"),
+    HeaderName::from_static("x-tenant-id"),
+    HeaderName::from_static("x-retried"),
+    HeaderName::from_static("x-cost"),
+    HeaderName::from_static("x-attrs"),
+    HeaderName::from_static("idempotency-key"),
+];
+/// Headers that must not come twice: whoever reads the other one reads another request.
+const ONCE: [&str; 5] =
+    ["x-request-id", "x-priority-class", "idempotency-key", "x-timeout", "content-length"];
+
 /// What is wrong with a request, so that it goes no further.
 #[derive(Debug, thiserror::Error)]
 enum Malformed {
     #[error("X-Request-ID is missing")]
     NoId,
+    #[error("{0} comes more than once")]
+    Repeated(&'static str),
+    #[error("a body needs a Content-Length, and no Transfer-Encoding")]
+    NoLength,
+    #[error("a request of this class has no body")]
+    NeedlessBody,
     #[error("X-Priority-Class names no class")]
     UnknownClass,
     #[error("the path is not that of the class")]
@@ -75,6 +107,7 @@
     fn status(&self) -> StatusCode {
         match self {
             Malformed::WrongMethod => StatusCode::METHOD_NOT_ALLOWED,
+            Malformed::NoLength => StatusCode::LENGTH_REQUIRED,
             Malformed::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Malformed::NoBody => StatusCode::REQUEST_TIMEOUT,
             _ => StatusCode::BAD_REQUEST,
@@ -90,6 +123,8 @@
     new: Cell<bool>,
     closing: Cell<bool>,
     close: Notify,
+    cut: Notify,
+    marks: Rc<Marks>,
 }
 
 /// The server.
@@ -182,11 +217,15 @@
 
     fn welcome(self: &Rc<Self>, stream: TcpStream, slot: Slot) {
         self.accepted.set(Instant::now());
-        let (slot, idle_since) = (RefCell::new(slot), Cell::new(Some(Instant::now())));
-        let (new, closing, close) = (Cell::new(true), Cell::new(false), Notify::new());
-        let peer = Rc::new(Peer { slot, idle_since, new, closing, close });
+        let _ = stream.set_nodelay(true);
+        let (wire, marks) = Wire::new(stream);
+        let now = Some(Instant::now());
+        marks.read_since.set(now); // the first head is awaited from now on
+        let (slot, idle_since, new) = (RefCell::new(slot), Cell::new(now), Cell::new(true));
+        let (closing, close, cut) = Default::default();
+        let peer = Rc::new(Peer { slot, idle_since, new, closing, close, cut, marks });
         self.peers.borrow_mut().push(peer.clone());
-        spawn_local(self.clone().serve(stream, peer));
+        spawn_local(self.clone().serve(wire, peer));
     }
 
     /// Has the connection closed that has been idle for longest. A close may cross a request that is on its way, so
@@ -219,8 +258,7 @@
         true
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream, peer: Rc<Peer>) {
-        let _ = stream.set_nodelay(true);
+    async fn serve(self: Rc<Self>, wire: Wire, peer: Rc<Peer>) {
         let _leaving = Leaving { server: self.clone(), peer: peer.clone() };
         let service = service_fn(|request| {
             let (server, peer) = (self.clone(), peer.clone());
@@ -228,7 +266,7 @@
                 peer.idle_since.set(None);
                 peer.new.set(false);
                 let room = server.has_room(&peer);
-                let mut answering = pin!(server.answer(request, room));
+                let mut answering = pin!(server.answer(request, room, &peer.marks));
                 // A panic here fails this request and no other.
                 let mut response = poll_fn(|cx| {
                     let polling = AssertUnwindSafe(|| answering.as_mut().poll(cx));
@@ -241,20 +279,24 @@
                 if server.stopping.get() || !room || server.crowded() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
-                peer.idle_since.set(Some(Instant::now()));
+                let now = Some(Instant::now());
+                peer.idle_since.set(now);
+                if peer.marks.read_since.get().is_some() {
+                    peer.marks.read_since.set(now); // the next head has begun already
+                }
                 Ok::<_, Infallible>(response)
             }
         });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(IDLE)
-            .max_buf_size(MAX_BUFFER)
-            .serve_connection(TokioIo::new(stream), service);
+        let connection =
+            http1::Builder::new().max_buf_size(MAX_BUFFER).serve_connection(TokioIo::new(wire), service);
         tokio::pin!(connection);
         tokio::select! {
             biased;
             _ = connection.as_mut() => return,
             () = peer.close.notified() => {}
+            () = peer.cut.notified() => if peer.idle_since.get().is_some() {
+                return; // nothing is owed, and nothing that makes a request has come
+            }
         }
         // What is being answered is still answered; hyper closes after that, or now where nothing is.
         connection.as_mut().graceful_shutdown();
@@ -262,6 +304,30 @@
         while timeout(LINGER, connection.as_mut()).await.is_err() && peer.idle_since.get().is_none() {}
     }
 
+    /// Ends, for as long as it runs, the connections that have had their time: heads that do not come, and what is
+    /// idle for long, or for a while where few places are left.
+    pub async fn sweep(&self) {
+        loop {
+            tokio::time::sleep(SWEEP).await;
+            let peers = self.peers.borrow();
+            let for_long = |since: Option<Instant>, most| since.is_some_and(|since| since.elapsed() >= most);
+            let idle = peers.iter().filter(|p| p.idle_since.get().is_some() && !p.closing.get());
+            let (begun, mut idle): (Vec<_>, Vec<_>) = idle.partition(|p| p.marks.read_since.get().is_some());
+            for peer in begun.iter().filter(|p| for_long(p.marks.read_since.get(), HEAD)) {
+                peer.closing.set(true);
+                peer.cut.notify_one();
+            }
+            idle.sort_by_key(|p| p.idle_since.get());
+            let crowd = peers.len().saturating_sub(self.clients.most() / 4 * 3);
+            for (n, peer) in idle.iter().enumerate() {
+                if for_long(peer.idle_since.get(), if n < crowd { IDLE_IN_A_CROWD } else { IDLE }) {
+                    peer.closing.set(true);
+                    peer.close.notify_one();
+                }
+            }
+        }
+    }
+
     /// Notes, for as long as it runs, when the event loop last came round and how late it was.
     pub async fn feel_pulse(&self) {
         loop {
@@ -302,7 +368,7 @@
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>, room: bool) -> Response<Full<Bytes>> {
+    async fn answer(&self, request: Request<Incoming>, room: bool, marks: &Marks) -> Response<Full<Bytes>> {
         let came = Instant::now() - self.waited();
         if request.uri().path() == "/health/ready" {
             let ready = self.gateway.hosts_up() && !self.stopping.get();
@@ -313,9 +379,14 @@
             // out that come after it and are taken already, so it is refused before its body is read.
             return self.respond(Final::Refused { keep_away: self.keep_away });
         }
-        match self.take(request, came).await {
+        match self.take(request, came, marks).await {
             Ok(answer) => self.respond(answer),
-            Err(malformed) => plain(malformed.status(), &format!("{malformed}\n")),
+            Err(malformed) => {
+                let mut response = plain(malformed.status(), &format!("{malformed}\n"));
+                // Where its end is in doubt, nothing that follows is read: it may be a request that hides in a body.
+                response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+                response
+            }
         }
     }
 
@@ -339,11 +410,26 @@
     }
 
     /// Has a request decided. The answer comes from the gateway, whatever becomes of the hosts.
-    async fn take(&self, request: Request<Incoming>, came: Instant) -> Result<Final, Malformed> {
-        let (mut head, body) = request.into_parts();
+    async fn take(
+        &self,
+        request: Request<Incoming>,
+        came: Instant,
+        marks: &Marks,
+    ) -> Result<Final, Malformed> {
+        let (head, body) = request.into_parts();
         let headers = &head.headers;
-        if text(headers, "x-request-id").is_none_or(str::is_empty) {
-            return Err(Malformed::NoId);
+        // Clients of the protocol say how long a body is. One that says it in two ways may hide a request in it, and
+        // hyper drops the length where it comes second.
+        if headers.contains_key(header::TRANSFER_ENCODING) {
+            return Err(Malformed::NoLength);
+        }
+        if let Some(name) = ONCE.into_iter().find(|&name| headers.get_all(name).iter().nth(1).is_some()) {
+            return Err(Malformed::Repeated(name));
+        }
+        let number = headers.get("x-request-id").filter(|id| !id.is_empty()).ok_or(Malformed::NoId)?.clone();
+        let length = body.size_hint().exact().ok_or(Malformed::NoLength)?;
+        if length > MAX_BODY as u64 {
+            return Err(Malformed::TooLong); // before any of it is read
         }
         let name = text(headers, "x-priority-class").ok_or(Malformed::UnknownClass)?;
         let place = self.names.classes.iter().position(|c| c == name).ok_or(Malformed::UnknownClass)?;
@@ -365,6 +451,9 @@
         }
         let patience = text(headers, "x-timeout").and_then(patience).ok_or(Malformed::BadTimeout)?;
         let give_up = came + patience.min(class.deadline).saturating_sub(AHEAD);
+        if method == Method::GET && length > 0 {
+            return Err(Malformed::NeedlessBody);
+        }
         let cost = match text(headers, "x-cost") {
             Some(cost) => Some(Duration::from_micros(cost.trim().parse().map_err(|_| Malformed::BadCost)?)),
             None => None,
@@ -381,15 +470,20 @@
             repeat: text(headers, "x-retried") == Some("1"),
             give_up_at: self.gateway.time(give_up),
         };
-        let body = timeout_at(give_up, whole(body)).await.unwrap_or(Err(Malformed::NoBody))?;
+        let by = give_up.min(Instant::now() + BODY);
+        let body = timeout_at(by, whole(body)).await.unwrap_or(Err(Malformed::NoBody))?;
+        marks.read_since.set(None); // what comes from here on is the next head
         if Instant::now() >= give_up {
             return Ok(Final::Failed(StatusCode::GATEWAY_TIMEOUT)); // too late to begin
         }
-        strip_hop_by_hop(&mut head.headers);
-        let forward = Forward { method: head.method, uri: head.uri, headers: head.headers, body };
+        let passed_on = |(name, value): (&HeaderName, &HeaderValue)| {
+            PASSED_ON.contains(name).then(|| (name.clone(), value.clone()))
+        };
+        let headers = headers.iter().filter_map(passed_on).collect();
+        let forward = Forward { method: head.method, uri: head.uri, headers, body };
         let (answer, decided) = oneshot::channel();
         let owed = Owed { gateway: self.gateway.clone(), id, open: open.clone() };
-        self.gateway.tell(Message::Arrived(Box::new(Arrival { request, forward, answer, open })));
+        self.gateway.tell(Message::Arrived(Box::new(Arrival { request, number, forward, answer, open })));
         let decided = decided.await;
         owed.open.set(false);
         Ok(decided.unwrap_or(Final::Failed(StatusCode::BAD_GATEWAY)))
--- a/src/bin/ottervane-gateway/gateway.rs
+++ b/src/bin/ottervane-gateway/gateway.rs
@@ -4,9 +4,10 @@
 use crate::config::Names;
 use crate::discovery::{self, Endpoint, List, Status};
 use crate::hosts::{Answer, Attempt, Forward, Host, Pool};
+use hyper::header::HeaderValue;
 use hyper::StatusCode;
 use ottervane::{Action, Balancer, Event, HostId, HostState, Outcome, RequestId, Settings};
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -39,6 +40,8 @@
 pub struct Arrival {
     /// What the module is told.
     pub request: ottervane::Request,
+    /// The client's number for it, `X-Request-ID`.
+    pub number: HeaderValue,
     /// What goes on to a host.
     pub forward: Forward,
     /// Where the answer goes.
@@ -149,6 +152,7 @@
 
 /// A request that is open or has an attempt out.
 struct Entry {
+    number: HeaderValue,
     forward: Rc<Forward>,
     answer: Option<oneshot::Sender<Final>>,
     open: Rc<Cell<bool>>,
@@ -206,6 +210,7 @@
     listed: Vec<ottervane::Host>,
     host_ids: FxHashMap<String, HostId>,
     requests: FxHashMap<RequestId, Entry>,
+    numbers: FxHashSet<HeaderValue>,
     timers: BinaryHeap<Reverse<(Instant, Timer)>>,
     messages: mpsc::UnboundedReceiver<Message>,
     handle: Handle,
@@ -237,6 +242,7 @@
             listed: Vec::new(),
             host_ids: FxHashMap::default(),
             requests: FxHashMap::default(),
+            numbers: FxHashSet::default(),
             timers: BinaryHeap::new(),
             messages,
             handle: handle.clone(),
@@ -293,13 +299,20 @@
     fn take(&mut self, message: Message) {
         match message {
             Message::Arrived(arrival) => {
-                let Arrival { request, forward, answer, open } = *arrival;
+                let Arrival { request, number, forward, answer, open } = *arrival;
+                if !self.numbers.insert(number.clone()) {
+                    // A host could not tell it from a second copy of the request that has this number.
+                    open.set(false);
+                    let _ = answer.send(Final::Failed(StatusCode::CONFLICT)); // a client that has gone wants none
+                    return;
+                }
                 let give_up = self.handle.clock.instant(request.give_up_at);
                 let (forward, answer) = (Rc::new(forward), Some(answer));
                 let (attempts, out, last) = (Vec::new(), 0, Outcome::NotSent);
                 self.timers.push(Reverse((give_up, Timer::Backstop(request.id))));
                 let id = request.id;
-                self.requests.insert(id, Entry { forward, answer, open, give_up, attempts, out, last });
+                self.requests
+                    .insert(id, Entry { number, forward, answer, open, give_up, attempts, out, last });
                 self.decide(Event::Request(request));
                 self.forget_if_done(id);
             }
@@ -347,7 +360,9 @@
 
     fn forget_if_done(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|e| e.answer.is_none() && e.out == 0) {
-            self.requests.remove(&id);
+            if let Some(entry) = self.requests.remove(&id) {
+                self.numbers.remove(&entry.number);
+            }
         }
     }
 
@@ -426,6 +441,7 @@
             entry.attempts.iter().for_each(|cancel| cancel.notify_one());
         }
         self.requests.retain(|_, entry| entry.out > 0);
+        self.numbers = self.requests.values().map(|entry| entry.number.clone()).collect();
         self.timers.clear();
         self.balancer = Balancer::new(self.settings.clone(), self.seed);
         let (mut actions, now) = (Vec::new(), self.handle.clock.time(Instant::now()));
@@ -516,7 +532,8 @@
         let request = ottervane::Request::new(handle.next_request(), 0, give_up);
         let (method, uri) = Default::default();
         let forward = Forward { method, uri, headers: Default::default(), body: Default::default() };
-        (Box::new(Arrival { request, forward, answer, open: Rc::new(Cell::new(true)) }), answered)
+        let number = HeaderValue::from(request.id.0);
+        (Box::new(Arrival { request, number, forward, answer, open: Rc::new(Cell::new(true)) }), answered)
     }
 
     /// A panic of the module can't be had from outside; what follows one can.
--- a/src/bin/ottervane-gateway/hosts.rs
+++ b/src/bin/ottervane-gateway/hosts.rs
@@ -1,11 +1,11 @@
 //! Connections to hosts: one attempt at a time on each, every attempt counted, every end told apart.
 
 use crate::sockets::{Slot, Slots};
+use crate::wire::{Marks, Wire};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Method, Request, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use ottervane::{HostId, Outcome};
@@ -16,7 +16,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -101,67 +101,14 @@
     pub cancel: Rc<Notify>,
 }
 
-/// A stream that remembers whether anything was written to it.
-struct Wire {
-    stream: TokioIo<TcpStream>,
-    written: Rc<Cell<bool>>,
-}
-
-impl Wire {
-    fn note(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if matches!(written, Poll::Ready(Ok(n)) if n > 0) {
-            self.written.set(true);
-        }
-        written
-    }
-}
-
-impl Read for Wire {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buffer)
-    }
-}
-
-impl Write for Wire {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(cx, data);
-        self.note(written)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        data: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, data);
-        self.note(written)
-    }
-}
-
 /// A connection to a host. It is driven by whoever holds it and by no task of its own, so that dropping it
 /// closes the socket there and then: a later attempt must not find an earlier one still out.
 struct Connection {
     host: HostId,
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
-    driver: Pin<Box<http1::Connection<Wire, Full<Bytes>>>>,
-    written: Rc<Cell<bool>>,
+    driver: Pin<Box<http1::Connection<TokioIo<Wire>, Full<Bytes>>>>,
+    marks: Rc<Marks>,
     idle_since: Instant,
     _slot: Slot,
 }
@@ -240,13 +187,13 @@
             Ok(Err(_)) | Err(_) => return Err(Outcome::NoConnection),
         };
         let _ = stream.set_nodelay(true);
-        let written = Rc::new(Cell::new(false));
-        let wire = Wire { stream: TokioIo::new(stream), written: written.clone() };
+        let (wire, marks) = Wire::new(stream);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_BUFFER);
-        let (sender, driver) = builder.handshake(wire).await.map_err(|_| Outcome::NoConnection)?;
+        let (sender, driver) =
+            builder.handshake(TokioIo::new(wire)).await.map_err(|_| Outcome::NoConnection)?;
         let (driver, idle_since) = (Box::pin(driver), Instant::now());
-        Ok(Connection { host: host.id, address, sender, driver, written, idle_since, _slot: slot })
+        Ok(Connection { host: host.id, address, sender, driver, marks, idle_since, _slot: slot })
     }
 
     /// Makes the attempt and tells how it ended. Its connection is closed by then, or idle in the pool.
@@ -276,7 +223,7 @@
             return Err(Outcome::NotSent);
         }
         let request = request(forward, *until);
-        connection.written.set(false);
+        connection.marks.written.set(false);
         sent.set(true);
         let sending = connection.sender.send_request(request);
         let answering = async {
@@ -293,7 +240,7 @@
             answering.as_mut().poll(cx)
         })
         .await;
-        let broken = if connection.written.get() { Outcome::Reset } else { Outcome::NoConnection };
+        let broken = if connection.marks.written.get() { Outcome::Reset } else { Outcome::NoConnection };
         let (head, body) = answered.map_err(|_| broken)?;
         let body = match body {
             Ok(body) => body.to_bytes(),
--- a/src/bin/ottervane-gateway/main.rs
+++ b/src/bin/ottervane-gateway/main.rs
@@ -6,6 +6,7 @@
 mod gateway;
 mod hosts;
 mod sockets;
+mod wire;
 
 use clients::Server;
 use config::Config;
@@ -59,7 +60,8 @@
     let server = Rc::new(Server::new(handle, names, &settings, &budget));
     eprintln!("listening on {}", listener.local_addr()?);
     // These live and die with the process: a panic in one of them ends it, for it would be half alive.
-    let running = async { tokio::join!(gateway.run(), pool.sweep(), server.feel_pulse(), reloading) };
+    let running =
+        async { tokio::join!(gateway.run(), pool.sweep(), server.feel_pulse(), server.sweep(), reloading) };
     tokio::pin!(running);
     tokio::select! {
         _ = running.as_mut() => return Err("the gateway has ended".into()),
--- /dev/null
+++ b/src/bin/ottervane-gateway/wire.rs
@@ -0,0 +1,84 @@
+//! A TCP stream that tells what has passed over it: HTTP is another's work, but which bytes came when is not told.
+
+use std::cell::Cell;
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// What has passed since the marks were last cleared.
+#[derive(Debug, Default)]
+pub struct Marks {
+    /// When the first byte was read.
+    pub read_since: Cell<Option<Instant>>,
+    /// Whether anything was written.
+    pub written: Cell<bool>,
+}
+
+/// A stream with its marks.
+#[derive(Debug)]
+pub struct Wire {
+    stream: TcpStream,
+    marks: Rc<Marks>,
+}
+
+impl Wire {
+    /// The stream, and the marks that it leaves.
+    pub fn new(stream: TcpStream) -> (Wire, Rc<Marks>) {
+        let marks = Rc::<Marks>::default();
+        (Wire { stream, marks: marks.clone() }, marks)
+    }
+
+    fn note(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if matches!(written, Poll::Ready(Ok(n)) if n > 0) {
+            self.marks.written.set(true);
+        }
+        written
+    }
+}
+
+impl AsyncRead for Wire {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if buffer.filled().len() > before && self.marks.read_since.get().is_none() {
+            self.marks.read_since.set(Some(Instant::now()));
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Wire {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, data);
+        self.note(written)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        data: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, data);
+        self.note(written)
+    }
+}
