Give a spoilt answer up at once; look at a connection before it is used again

Seen by the new tests before the mend: a head without end, a short body and an unfinished chunk hold their request until its time-out (504 after 30 s there), too late for another try; after it 100 ms. A body of 3 GB is left at its head.

Cause: hosts.rs, exchange, waited for the end of whatever had begun. Lines to blame: answering, and Limited, which reads 64 KiB of a body that says it is longer. A 1xx is no beginning: waits_for_the_answer_behind_a_1xx guards that.

What comes behind an answer: hyper ends a connection that has bytes left over when it turns idle. What comes later was looked for only where the runtime had noticed it. Now the kernel is asked (MSG_PEEK, socket2) and a connection rests 2 ms before it is used again.

Ruled out: leaving out header lines that can't be read, so that a bad load report does no harm whatever its bytes. The same leniency would serve noise.

--- a/src/bin/ottervane-gateway/hosts.rs
+++ b/src/bin/ottervane-gateway/hosts.rs
@@ -4,7 +4,9 @@
 use crate::wire::{Marks, Wire};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::ext::on_informational;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
@@ -16,6 +18,8 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::task::Poll;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -27,6 +31,13 @@
 /// The most that is read ahead of a head or body on one connection.
 pub const MAX_BUFFER: usize = 32 << 10;
 
+/// An answer is whole so long after its first byte. What keeps the connection open after noise, or after less than it
+/// promised, would hold its request until that times out, too late for another try.
+const ANSWER: Duration = Duration::from_millis(100);
+/// A connection rests for so long between two requests: what a host sends beyond an answer comes right behind it, and
+/// must not be read as the answer to the next.
+const REST: Duration = Duration::from_millis(2);
+
 /// Headers that belong to one connection, or that each side words anew.
 const HOP_BY_HOP: [HeaderName; 8] = [
     header::CONNECTION,
@@ -114,9 +125,11 @@
 }
 
 impl Connection {
-    /// Whether the host has left it open, as far as is known now.
+    /// Whether the host has left it open and sent nothing beyond its answers, as far as the kernel knows now.
     async fn is_open(&mut self) -> bool {
+        self.marks.idle.set(true);
         let over = poll_fn(|cx| Poll::Ready(self.driver.as_mut().poll(cx).is_ready())).await;
+        self.marks.idle.set(false);
         !over && self.sender.is_ready()
     }
 }
@@ -161,7 +174,8 @@
         loop {
             let mut connection = {
                 let mut idle = self.idle.borrow_mut();
-                let at = idle.iter().rposition(|c| c.host == host.id)?;
+                let rested = |c: &Connection| c.idle_since.elapsed() >= REST;
+                let at = idle.iter().rposition(|c| c.host == host.id && rested(c))?;
                 idle.remove(at)?
             };
             let fresh = connection.idle_since.elapsed() < self.idle_most;
@@ -222,24 +236,43 @@
             self.put_back(connection, host).await;
             return Err(Outcome::NotSent);
         }
-        let request = request(forward, *until);
+        let mut request = request(forward, *until);
+        let informed = Arc::new(AtomicBool::new(false));
+        let inform = informed.clone();
+        on_informational(&mut request, move |_| inform.store(true, Ordering::Relaxed));
         connection.marks.written.set(false);
+        connection.marks.read_since.set(None);
         sent.set(true);
         let sending = connection.sender.send_request(request);
         let answering = async {
             let (head, body) = sending.await?.into_parts();
+            if body.size_hint().lower() > MAX_BODY as u64 {
+                return Ok((head, Err("longer than an answer may be".into())));
+            }
             Ok::<_, hyper::Error>((head, Limited::new(body, MAX_BODY).collect().await))
         };
-        tokio::pin!(answering);
+        let late = sleep_until(*until);
+        tokio::pin!(answering, late);
         let mut over = false;
         let answered = poll_fn(|cx| {
             if let Poll::Ready(answered) = answering.as_mut().poll(cx) {
-                return Poll::Ready(answered);
+                return Poll::Ready(Some(answered));
             }
             over = over || connection.driver.as_mut().poll(cx).is_ready();
-            answering.as_mut().poll(cx)
+            if let Poll::Ready(answered) = answering.as_mut().poll(cx) {
+                return Poll::Ready(Some(answered));
+            }
+            if informed.swap(false, Ordering::Relaxed) {
+                connection.marks.read_since.set(None); // a 1xx: the answer itself has not begun
+            }
+            let Some(since) = connection.marks.read_since.get() else { return Poll::Pending };
+            if late.deadline() != since + ANSWER {
+                late.as_mut().reset(since + ANSWER);
+            }
+            late.as_mut().poll(cx).map(|()| None)
         })
         .await;
+        let answered = answered.ok_or(Outcome::Reset)?;
         let broken = if connection.marks.written.get() { Outcome::Reset } else { Outcome::NoConnection };
         let (head, body) = answered.map_err(|_| broken)?;
         let body = match body {
--- a/src/bin/ottervane-gateway/wire.rs
+++ b/src/bin/ottervane-gateway/wire.rs
@@ -1,7 +1,9 @@
 //! A TCP stream that tells what has passed over it: HTTP is another's work, but which bytes came when is not told.
 
+use socket2::SockRef;
 use std::cell::Cell;
 use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -16,6 +18,8 @@
     pub read_since: Cell<Option<Instant>>,
     /// Whether anything was written.
     pub written: Cell<bool>,
+    /// Whether nothing may come now: anything that does is an error.
+    pub idle: Cell<bool>,
 }
 
 /// A stream with its marks.
@@ -32,6 +36,13 @@
         (Wire { stream, marks: marks.clone() }, marks)
     }
 
+    /// Whether the kernel holds anything to read, be it the end. The runtime knows only what was there when it last
+    /// looked, and on a connection that is about to be used again that may be too long ago.
+    fn has_news(&self) -> bool {
+        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+        !matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+
     fn note(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if matches!(written, Poll::Ready(Ok(n)) if n > 0) {
             self.marks.written.set(true);
@@ -48,6 +59,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if read.is_pending() && self.marks.idle.get() && self.has_news() {
+            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+        }
         if buffer.filled().len() > before && self.marks.read_since.get().is_none() {
             self.marks.read_since.set(Some(Instant::now()));
         }
--- a/tests/gateway/fakes.rs
+++ b/tests/gateway/fakes.rs
@@ -71,6 +71,8 @@
     Half,
     /// Says nothing until released or left.
     Hang,
+    /// Sends these bytes, one piece a while after another, and leaves the connection open.
+    Raw(Vec<String>),
 }
 
 impl Reply {
@@ -87,6 +89,8 @@
     pub address: SocketAddr,
     pub seen: Arc<Mutex<Vec<Http>>>,
     pub left: Arc<AtomicUsize>,
+    /// How many raw replies have been written whole.
+    pub raw: Arc<AtomicUsize>,
     release: Arc<AtomicBool>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
 }
@@ -98,6 +102,7 @@
             address: listener.local_addr().expect("an address"),
             seen: Arc::default(),
             left: Arc::default(),
+            raw: Arc::default(),
             release: Arc::default(),
             connections: Arc::default(),
         };
@@ -128,6 +133,14 @@
                     true => (200, "", b"released".to_vec()),
                     false => break,
                 },
+                Reply::Raw(pieces) => {
+                    for (n, piece) in pieces.iter().enumerate() {
+                        sleep(Duration::from_millis(if n == 0 { 0 } else { 250 }));
+                        let _ = stream.write_all(piece.as_bytes());
+                    }
+                    self.raw.fetch_add(1, Ordering::SeqCst);
+                    continue;
+                }
             };
             let head = format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
             let _ = stream.write_all(&[head.as_bytes(), &body].concat());
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,7 +5,7 @@
 
 use fakes::{
     config, entry, refusing, request, settings, spawn_gateway, wait_for, write_config, Client, FakeDiscovery,
-    FakeHost, Gateway, Reply,
+    FakeHost, Gateway, Http, Reply,
 };
 use serde_json::{json, Value};
 use std::io::Read;
@@ -130,6 +130,69 @@
     }
 }
 
+#[test]
+fn gives_a_spoilt_answer_up_long_before_its_time_out() {
+    let spoilt = [
+        "\u{1}\u{2}noise\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-Endless: ",
+        "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort",
+        "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nwrong",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nlong",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort",
+    ];
+    for (n, text) in spoilt.into_iter().enumerate() {
+        // What has run may run again only where its class allows.
+        for (class, status, tries) in [("look", 200, 2), ("once", 502, 1)] {
+            let hosts = first_does(Reply::Raw(vec![text.to_owned()]), &[1, 1]);
+            let (gateway, _discovery) = start(&format!("spoilt-{n}-{class}"), &entries(&hosts, &[1, 1]));
+            let asked = Instant::now();
+            assert_eq!(gateway.ask(class).status(), status, "{class}: {text}");
+            assert_eq!(sent(&hosts), tries, "{class}: {text}");
+            assert!(asked.elapsed() < Duration::from_secs(15), "{class} waited for more of {text}");
+        }
+    }
+}
+
+#[test]
+fn waits_for_the_answer_behind_a_1xx() {
+    let early = "HTTP/1.1 103 Early Hints\r\nX-Early: 1\r\n\r\n".to_owned();
+    let answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate".to_owned();
+    let host = FakeHost::start(move |_| Reply::Raw(vec![early.clone(), answer.clone()]));
+    let (gateway, _discovery) = start("early", &[host.entry("s-1", 1)]);
+    let answer = gateway.ask("once");
+    assert_eq!((answer.status(), &answer.body[..]), (200, &b"late"[..]));
+}
+
+#[test]
+fn reads_nothing_beyond_an_answer_as_the_next_one() {
+    let good = |r: &Http, ahead: &str, extra: &str| {
+        let id = r.header("x-request-id").expect("an id");
+        format!("{ahead}HTTP/1.1 200 OK\r\n{extra}Content-Length: {}\r\n\r\n{id}", id.len())
+    };
+    // Right behind, just after the connection has gone idle, and noise in place of a copy.
+    let behind: [fn(String) -> Vec<String>; 3] = [
+        |answer| vec![format!("{answer}{answer}")],
+        |answer| vec![answer.clone(), answer],
+        |answer| vec![format!("{answer}\r\nnoise")],
+    ];
+    for (n, more) in behind.into_iter().enumerate() {
+        let report = "X-Server-Load: =,;inflight=many, qps\r\n";
+        let host = FakeHost::start(move |r| {
+            Reply::Raw(more(good(r, "HTTP/1.1 102 Processing\r\nX-Early: 1\r\n\r\n", report)))
+        });
+        let (gateway, _discovery) = start(&format!("behind-{n}"), &[host.entry("s-1", 1)]);
+        let mut client = gateway.connect();
+        for round in 0..6 {
+            let text = request("look");
+            client.write(text.as_bytes());
+            let answer = client.read().expect("an answer");
+            assert_eq!(answer.status(), 200, "{n}, {round}");
+            assert!(text.contains(&String::from_utf8_lossy(&answer.body).into_owned()), "{n}, {round}");
+            wait_for("all that the host sends", || host.raw.load(Ordering::SeqCst) == round + 1);
+        }
+    }
+}
+
 #[test]
 fn sends_a_keyed_request_again_inside_its_group_only() {
     let cells = [1, 1, 2, 2];
