Use the numbers of hosts that are gone again; start afresh under a new name

Seen by the new unit test before the mend: 101 numbers after a hundred hosts have replaced one another. hosts, listed, host_ids (gateway.rs, host) and the module's hosts only grew, and each list walked all of them, with one walk over the idle connections for each host that was gone.

Mend: each list first frees the numbers of hosts that are gone and that no open request has been sent to (attempts hold their host, so its count of owners tells). The module starts afresh when a number comes under another name's hash (balancer.rs, learn): without that the new host is shunned for what the old one did, 2 of 8 requests in place of 4 of 8. One walk closes the connections to all that take no work.

Checked: connections go by number and are closed when the host goes, and put_back asks the attempt's own host, so a new host at an old address gets its own (gives_a_new_host_at_an_old_address_connections_of_its_own passes before and after; it guards the reuse).

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -367,13 +367,13 @@
         }
         self.hosts.iter_mut().filter(|_| full).for_each(|h| h.entry.state = HostState::Removed);
         for entry in list.iter().filter(|e| e.id.0 < HostId::LIMIT) {
-            let i = entry.id.0 as usize;
+            let (i, known) = (entry.id.0 as usize, self.hosts.len());
             let unknown = || Host { started: f64::NEG_INFINITY, size: 1.0, ..Host::default() };
             self.hosts.resize_with(self.hosts.len().max(i + 1), unknown);
             let h = &mut self.hosts[i];
             let started = entry.started.map_or(f64::NEG_INFINITY, |t| t.as_secs_f64());
-            if started > h.started {
-                // A new or restarted process: nothing learnt before holds. Its first send as a cold host
+            if started > h.started || (i < known && h.entry.hash != entry.hash) {
+                // A new or restarted process, or another host: nothing learnt before holds. Its first send as a cold host
                 // falls at a random place, or every gateway's first would arrive together.
                 let out = std::mem::take(&mut h.out);
                 *h = Host { started, out, tokens: self.rng.f64(), size: 1.0, ..Host::default() };
--- a/src/bin/ottervane-gateway/gateway.rs
+++ b/src/bin/ottervane-gateway/gateway.rs
@@ -157,7 +157,7 @@
     answer: Option<oneshot::Sender<Final>>,
     open: Rc<Cell<bool>>,
     give_up: Instant,
-    attempts: Vec<Rc<Notify>>,
+    attempts: Vec<(Rc<Host>, Rc<Notify>)>,
     out: u32,
     last: Outcome,
 }
@@ -209,6 +209,7 @@
     hosts: Vec<Rc<Host>>,
     listed: Vec<ottervane::Host>,
     host_ids: FxHashMap<String, HostId>,
+    free_ids: Vec<HostId>,
     requests: FxHashMap<RequestId, Entry>,
     numbers: FxHashSet<HeaderValue>,
     timers: BinaryHeap<Reverse<(Instant, Timer)>>,
@@ -241,6 +242,7 @@
             hosts: Vec::new(),
             listed: Vec::new(),
             host_ids: FxHashMap::default(),
+            free_ids: Vec::new(),
             requests: FxHashMap::default(),
             numbers: FxHashSet::default(),
             timers: BinaryHeap::new(),
@@ -369,6 +371,7 @@
     /// Takes a list of hosts in, or what has changed of it.
     pub fn learn(&mut self, list: List) {
         self.version = list.index;
+        self.free_the_gone();
         if list.snapshot {
             // What a whole list lacks is gone.
             self.hosts.iter().for_each(|h| h.takes_work.set(false));
@@ -381,19 +384,38 @@
                 None => self.listed.push(host.clone()),
             }
         }
-        for host in self.hosts.iter().filter(|h| !h.takes_work.get()) {
-            self.pool.close(host.id);
-        }
+        self.pool.keep(|id| self.hosts.get(id.0 as usize).is_some_and(|h| h.takes_work.get()));
         self.handle.hosts_up.set(self.hosts.iter().any(|h| h.takes_work.get()));
         self.decide(Event::Hosts { full: list.snapshot, hosts: &news });
     }
 
-    /// An entry in the module's terms. A host keeps its number by its name, also when it comes back.
+    /// Frees the numbers of the hosts that are gone and that no open request has been sent to. Hosts come and go for
+    /// ever: with a number for each that ever was, every table and every walk over one would grow for ever.
+    fn free_the_gone(&mut self) {
+        let (hosts, listed, free) = (&self.hosts, &self.listed, &mut self.free_ids);
+        self.host_ids.retain(|_, id| {
+            let at = id.0 as usize;
+            let gone = listed.get(at).is_some_and(|h| h.state == HostState::Removed)
+                && hosts.get(at).is_some_and(|h| Rc::strong_count(h) == 1);
+            if gone {
+                free.push(*id);
+            }
+            !gone
+        });
+    }
+
+    /// An entry in the module's terms. A host keeps its number by its name for as long as it is known; the module tells
+    /// by the name's hash that a number has passed to another.
     fn host(&mut self, entry: &Endpoint) -> ottervane::Host {
-        let next = HostId(self.hosts.len() as u32);
-        let id = *self.host_ids.entry(entry.name.clone()).or_insert(next);
-        if id == next {
-            self.hosts.push(Rc::new(Host { id, address: Cell::new(None), takes_work: Cell::new(false) }));
+        let known = self.host_ids.get(&entry.name).copied();
+        let id = known.or_else(|| self.free_ids.pop()).unwrap_or(HostId(self.hosts.len() as u32));
+        if known.is_none() {
+            self.host_ids.insert(entry.name.clone(), id);
+            let host = Rc::new(Host { id, address: Cell::new(None), takes_work: Cell::new(false) });
+            match self.hosts.get_mut(id.0 as usize) {
+                Some(gone) => *gone = host,
+                None => self.hosts.push(host),
+            }
         }
         let host = &self.hosts[id.0 as usize];
         let address = entry.address.parse().ok();
@@ -438,7 +460,7 @@
         eprintln!("the decision module has panicked: starting it anew");
         for entry in self.requests.values_mut() {
             entry.finish(Final::Failed(StatusCode::BAD_GATEWAY));
-            entry.attempts.iter().for_each(|cancel| cancel.notify_one());
+            entry.attempts.iter().for_each(|(_, cancel)| cancel.notify_one());
         }
         self.requests.retain(|_, entry| entry.out > 0);
         self.numbers = self.requests.values().map(|entry| entry.number.clone()).collect();
@@ -457,7 +479,7 @@
             Action::Send { request, host, until } => self.send(request, host, until),
             Action::Cancel { request, attempt } => {
                 let attempts = self.requests.get(&request).map(|e| &e.attempts);
-                if let Some(cancel) = attempts.and_then(|a| a.get(attempt as usize)) {
+                if let Some((_, cancel)) = attempts.and_then(|a| a.get(attempt as usize)) {
                     cancel.notify_one();
                 }
             }
@@ -510,7 +532,7 @@
         let number = entry.attempts.len() as u32;
         let end = (Outcome::Reset, None);
         let report = Report { gateway, request: id, attempt: number, sent, end };
-        entry.attempts.push(cancel);
+        entry.attempts.push((host.clone(), cancel));
         entry.out += 1;
         let pool = self.pool.clone();
         spawn_local(async move {
@@ -536,20 +558,47 @@
         (Box::new(Arrival { request, number, forward, answer, open: Rc::new(Cell::new(true)) }), answered)
     }
 
-    /// A panic of the module can't be had from outside; what follows one can.
-    #[tokio::test]
-    async fn starting_over_fails_what_is_held_and_serves_on() {
+    fn gateway() -> (Gateway, Handle) {
         let mut settings = Settings::default();
         settings.classes.push(ottervane::Class::new(Duration::from_secs(10), Duration::from_secs(30)));
         let names = Names { classes: vec!["look".into()], tenants: vec![], zones: vec![], kinds: vec![] };
         let budget = Budget::new(&Default::default());
         let pool = Rc::new(Pool::new(budget.hosts, Duration::from_secs(5), Duration::from_secs(10)));
         let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
-        let (mut gateway, handle) = Gateway::new(settings, 1, Rc::new(names), pool, nobody);
-        let list = r#"{"snapshot":true,"endpoints":[{"name":"s-1","address":"127.0.0.1:1"}]}"#;
+        Gateway::new(settings, 1, Rc::new(names), pool, nobody)
+    }
+
+    fn list(name: &str) -> List {
+        let text = r#"{"snapshot":true,"endpoints":[{"name":"NAME","address":"127.0.0.1:1"}]}"#;
+        serde_json::from_str(&text.replace("NAME", name)).expect("a list")
+    }
+
+    /// What grows with all hosts that ever were would fill the memory in the end.
+    #[tokio::test]
+    async fn numbers_of_hosts_that_are_gone_are_used_again() {
+        let local = LocalSet::new();
+        let _inside = local.enter();
+        let (mut gateway, handle) = gateway();
+        gateway.learn(list("first"));
+        let (held, _answered) = arrival(&handle);
+        gateway.take(Message::Arrived(held));
+        for n in 0..100 {
+            gateway.learn(list(&format!("s-{n}")));
+        }
+        assert!(gateway.hosts.len() <= 4, "{} numbers for one host at a time", gateway.hosts.len());
+        assert!(gateway.host_ids.len() <= 4 && gateway.listed.len() == gateway.hosts.len());
+        // But not while an open request has been sent to the one that is gone.
+        let host = gateway.host_ids.get("first").copied();
+        assert_eq!(host, Some(HostId(0)), "its request is open still");
+    }
+
+    /// A panic of the module can't be had from outside; what follows one can.
+    #[tokio::test]
+    async fn starting_over_fails_what_is_held_and_serves_on() {
         let local = LocalSet::new();
         let _inside = local.enter();
-        gateway.learn(serde_json::from_str(list).expect("a list"));
+        let (mut gateway, handle) = gateway();
+        gateway.learn(list("s-1"));
         let (held, mut answered) = arrival(&handle);
         gateway.take(Message::Arrived(held));
         assert!(answered.try_recv().is_err(), "nothing has answered it so far");
--- a/src/bin/ottervane-gateway/hosts.rs
+++ b/src/bin/ottervane-gateway/hosts.rs
@@ -151,7 +151,12 @@
 
     /// Closes the idle connections to a host.
     pub fn close(&self, host: HostId) {
-        self.idle.borrow_mut().retain(|c| c.host != host);
+        self.keep(|other| other != host);
+    }
+
+    /// Keeps the idle connections to these hosts and closes all others.
+    pub fn keep(&self, these: impl Fn(HostId) -> bool) {
+        self.idle.borrow_mut().retain(|c| these(c.host));
     }
 
     /// Closes, for as long as it runs, what has been idle for long or was closed by its host: either only
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -184,6 +184,21 @@
     assert_eq!(quick, 5, "new hosts of the quick kind first");
 }
 
+/// Guards against a new host that is shunned, or crowded, for what its number's last owner did.
+#[test]
+fn a_number_that_passes_to_another_host_starts_afresh() {
+    let mut bench = Bench::new(settings(), 2);
+    let counts = bench.serve(200, |host| if host == 0 { 200 } else { 20 });
+    assert!(counts[0] < 40, "{counts:?}: the first one is shunned");
+    let gone = Host { state: HostState::Removed, ..host(0, None) };
+    bench.give(Event::Hosts { full: false, hosts: &[gone] });
+    let other = Host { zone: 0, ..Host::new(HostId(0), "another") };
+    bench.give(Event::Hosts { full: false, hosts: &[other] });
+    let mut to = [0; 2];
+    (0..8).filter_map(|_| bench.request(0, None)).for_each(|host| to[host as usize] += 1);
+    assert_eq!(to, [4, 4]);
+}
+
 /// Guards against blaming a host for all when it fails one class only: that class leaves, the others stay.
 #[test]
 fn a_host_that_fails_one_class_keeps_the_others() {
--- a/tests/gateway/fakes.rs
+++ b/tests/gateway/fakes.rs
@@ -173,6 +173,11 @@
         }
     }
 
+    /// How many connections there have been since the last call of `close_all`.
+    pub fn connections(&self) -> usize {
+        self.connections.lock().expect("lock").len()
+    }
+
     pub fn count(&self) -> usize {
         self.seen.lock().expect("lock").len()
     }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -311,6 +311,20 @@
     assert_eq!(old.count(), before);
 }
 
+#[test]
+fn gives_a_new_host_at_an_old_address_connections_of_its_own() {
+    let host = FakeHost::start(|_| Reply::ok("ok"));
+    let (gateway, discovery) = start("churn", &[host.entry("s-0", 1)]);
+    assert_eq!(gateway.ask("look").status(), 200);
+    for n in 1..8 {
+        let before = host.connections();
+        let list = [host.entry(&format!("s-{n}"), 1)];
+        discovery.push(json!({"index": 41 + n, "snapshot": true, "endpoints": list}));
+        // What the one that is gone had open would be used on and on.
+        wait_for("a new connection", || gateway.ask("look").status() == 200 && host.connections() > before);
+    }
+}
+
 #[test]
 fn asks_again_when_the_watch_falls_silent() {
     let host = FakeHost::start(|_| Reply::ok("ok"));
