Tell clients that ask once and keep their connections to let go of them

What counts now is how many connections rest that have asked: from a fifth of the descriptors on, an answer on a connection's first request says Connection: close. A connection that is used again is kept, so that the usual clients keep theirs beside rude and silent ones.

--- a/src/bin/ottervane-gateway/clients.rs
+++ b/src/bin/ottervane-gateway/clients.rs
@@ -120,7 +120,10 @@
 struct Peer {
     slot: RefCell<Slot>,
     idle_since: Cell<Option<Instant>>,
-    new: Cell<bool>,
+    /// How many requests it has brought.
+    asked: Cell<u64>,
+    /// It has brought a request, was answered, and has not begun another.
+    resting: Cell<bool>,
     closing: Cell<bool>,
     close: Notify,
     cut: Notify,
@@ -136,6 +139,9 @@
     clients: Slots,
     overflow: Slots,
     peers: RefCell<Vec<Rc<Peer>>>,
+    /// How many peers rest, and how many may before new ones are not kept.
+    resting: Cell<usize>,
+    may_rest: usize,
     left: Notify,
     accepted: Cell<Instant>,
     pulse: Cell<Instant>,
@@ -170,6 +176,8 @@
             clients: budget.clients.clone(),
             overflow: budget.overflow.clone(),
             peers: RefCell::default(),
+            resting: Cell::new(0),
+            may_rest: budget.resting,
             left: Notify::new(),
             accepted: Cell::new(Instant::now()),
             pulse: Cell::new(Instant::now()),
@@ -221,9 +229,9 @@
         let (wire, marks) = Wire::new(stream);
         let now = Some(Instant::now());
         marks.read_since.set(now); // the first head is awaited from now on
-        let (slot, idle_since, new) = (RefCell::new(slot), Cell::new(now), Cell::new(true));
-        let (closing, close, cut) = Default::default();
-        let peer = Rc::new(Peer { slot, idle_since, new, closing, close, cut, marks });
+        let (slot, idle_since) = (RefCell::new(slot), Cell::new(now));
+        let (asked, resting, closing, close, cut) = Default::default();
+        let peer = Rc::new(Peer { slot, idle_since, asked, resting, closing, close, cut, marks });
         self.peers.borrow_mut().push(peer.clone());
         spawn_local(self.clone().serve(wire, peer));
     }
@@ -235,7 +243,8 @@
         let peers = self.peers.borrow();
         let settled = |since: Instant, new: bool| since.elapsed() >= if new { NEW } else { SETTLED };
         let idle = peers.iter().filter(|p| !p.closing.get());
-        let idle = idle.filter(|p| p.idle_since.get().is_some_and(|since| settled(since, p.new.get())));
+        let idle =
+            idle.filter(|p| p.idle_since.get().is_some_and(|since| settled(since, p.asked.get() == 0)));
         if let Some(peer) = idle.min_by_key(|p| p.idle_since.get()) {
             peer.closing.set(true);
             peer.close.notify_one();
@@ -247,6 +256,22 @@
         self.peers.borrow().len() > self.clients.most()
     }
 
+    /// Whether a connection that has just been answered is better not kept. A client that asks once on a new
+    /// connection and keeps it uses up what it may hold, and can then open no other: it stands still long before
+    /// the places here are all taken. Who asks again on a connection shows that keeping it is of use.
+    fn keeps_too_many(&self, peer: &Peer) -> bool {
+        peer.asked.get() <= 1 && self.resting.get() >= self.may_rest
+    }
+
+    /// Notes that the connection rests, or no longer does.
+    fn note_rest(&self, peer: &Peer, rests: bool) {
+        match (peer.resting.replace(rests), rests) {
+            (false, true) => self.resting.set(self.resting.get() + 1),
+            (true, false) => self.resting.set(self.resting.get() - 1),
+            _ => {}
+        }
+    }
+
     /// Whether the connection has a place of its own; one of the overflow gets one as soon as one is free.
     fn has_room(&self, peer: &Peer) -> bool {
         if !self.overflow.include(&peer.slot.borrow()) {
@@ -264,7 +289,8 @@
             let (server, peer) = (self.clone(), peer.clone());
             async move {
                 peer.idle_since.set(None);
-                peer.new.set(false);
+                peer.asked.set(peer.asked.get() + 1);
+                server.note_rest(&peer, false);
                 let room = server.has_room(&peer);
                 let mut answering = pin!(server.answer(request, room, &peer.marks));
                 // A panic here fails this request and no other.
@@ -276,11 +302,12 @@
                 .await;
                 // A client that stays would have to be cut off at the end, or keep the next one out. Where
                 // more have come than have places, this frees one without a close that crosses a request.
-                if server.stopping.get() || !room || server.crowded() {
+                if server.stopping.get() || !room || server.crowded() || server.keeps_too_many(&peer) {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
                 let now = Some(Instant::now());
                 peer.idle_since.set(now);
+                server.note_rest(&peer, !response.headers().contains_key(header::CONNECTION));
                 if peer.marks.read_since.get().is_some() {
                     peer.marks.read_since.set(now); // the next head has begun already
                 }
@@ -508,6 +535,7 @@
 
 impl Drop for Leaving {
     fn drop(&mut self) {
+        self.server.note_rest(&self.peer, false);
         self.server.peers.borrow_mut().retain(|p| !Rc::ptr_eq(p, &self.peer));
         self.server.left.notify_one();
     }
--- a/src/bin/ottervane-gateway/sockets.rs
+++ b/src/bin/ottervane-gateway/sockets.rs
@@ -15,6 +15,10 @@
 /// The fewest descriptors for clients that are only told that there is no room.
 const OVERFLOW: usize = 4;
 
+/// Of all descriptors, the part that connections of clients may have while they rest. Clients may hold a third of
+/// them: what rests within that third leaves too little for those that ask.
+const RESTING: usize = 5;
+
 /// A number of descriptors that may be open at once.
 #[derive(Clone, Debug)]
 pub struct Slots {
@@ -63,6 +67,8 @@
     /// Connections that are taken in beyond those, only to be told that there is no room: what has come
     /// as far as the kernel is taken, so accepting may not stop.
     pub overflow: Slots,
+    /// How many connections of clients may rest before new ones are no longer kept.
+    pub resting: usize,
     /// Connections to hosts.
     pub hosts: Slots,
 }
@@ -75,6 +81,12 @@
         let overflow = (rest / 16).max(OVERFLOW).min(fit / 5);
         let clients = (rest / 2).min(fit.saturating_sub(overflow));
         let hosts = (rest - rest / 2).saturating_sub(overflow);
-        Budget { clients: Slots::new(clients), overflow: Slots::new(overflow), hosts: Slots::new(hosts) }
+        let resting = (limits.sockets / RESTING).min(clients / 4 * 3);
+        Budget {
+            clients: Slots::new(clients),
+            overflow: Slots::new(overflow),
+            resting,
+            hosts: Slots::new(hosts),
+        }
     }
 }
