Turn the repository into a workspace, with a room for each side of the gateway

The gateway grows by eight subsystems, and its files imported each other in a ring (config, discovery, gateway, hosts, sockets).

The program is moved, not rewritten: crates/gateway holds it as a library and a thin main, split after core, listeners, upstream, discovery, daemon and config. Types that several rooms need stand in leaves (limits, names, exchange, discovery/list, core/messages), so no file imports in a circle any more. crates/control is there for what comes; crates/settings reads files of settings and reports every error at once with line and key, for the operator's file and for the scripts that come next, which is why it is a package of its own.

A plain build at the root still makes both programs of the deploy file (default-members).

--- /dev/null
+++ b/crates/gateway/src/config/operator.rs
@@ -0,0 +1,61 @@
+//! The operator's file: a table for each subsystem. One with no table is off and costs nothing.
+
+use ottervane_settings::{Document, Problems};
+use std::path::Path;
+
+/// Why the operator's file does not hold.
+#[derive(Debug, thiserror::Error)]
+pub enum OperatorError {
+    /// It cannot be read.
+    #[error("cannot read {path}: {source}")]
+    Unreadable {
+        /// The file.
+        path: String,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// It is not what it should be; all that is wrong is told.
+    #[error(transparent)]
+    Wrong(#[from] Problems),
+}
+
+/// What the operators want. No subsystem has settings yet, so any key is a mistake.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Operator {}
+
+impl Operator {
+    /// Reads the file.
+    ///
+    /// # Errors
+    /// Where it can't be read, or anything in it is wrong.
+    pub fn read(path: &Path) -> Result<Operator, OperatorError> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| OperatorError::Unreadable { path: name.clone(), source })?;
+        Ok(Operator::parse(&name, &text)?)
+    }
+
+    /// The same for its text; `file` is its name in errors.
+    ///
+    /// # Errors
+    /// All that is wrong with it, each with its line and key.
+    pub fn parse(file: &str, text: &str) -> Result<Operator, Problems> {
+        let document = Document::parse(file, text)?;
+        document.root().finish();
+        document.check(Operator {})
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_shipped_file_is_as_it_should_be_and_unknown_tables_are_told() {
+        let shipped = include_str!("../../../../deploy/gateway.toml");
+        assert_eq!(Operator::parse("gateway.toml", shipped).expect("the shipped file"), Operator::default());
+        let problems = Operator::parse("g.toml", "x = 1\n\n[tsl]\n").expect_err("two keys that nobody knows");
+        let places: Vec<_> = problems.list.iter().map(|p| (p.line, p.key.as_str())).collect();
+        assert_eq!(places, [(1, "x"), (3, "tsl")]);
+    }
+}
--- a/src/bin/ottervane-gateway/config.rs
+++ b/crates/gateway/src/config/platform.rs
@@ -1,6 +1,8 @@
 //! What the gateway is told at its start: the file that `ROUTER_CONFIG` names, and the variables beside it.
 
-use crate::discovery::List;
+use crate::discovery::list::List;
+use crate::limits::Limits;
+use crate::names::Names;
 use ottervane::wire::parse_settings;
 use ottervane::{stable_hash, Settings};
 use serde::Deserialize;
@@ -8,6 +10,7 @@
 use std::env;
 use std::fs;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 
 /// The least memory in which a few clients fit.
@@ -63,22 +66,6 @@
     settings: Box<RawValue>,
 }
 
-/// The limits that the platform sets this process.
-#[derive(Deserialize)]
-#[serde(default)]
-pub struct Limits {
-    /// Memory, in MB.
-    pub memory_mb: usize,
-    /// Descriptors.
-    pub sockets: usize,
-}
-
-impl Default for Limits {
-    fn default() -> Self {
-        Limits { memory_mb: 192, sockets: 1024 }
-    }
-}
-
 /// A name in the settings, by whose place a request or host refers to it.
 #[derive(Deserialize)]
 struct Named {
@@ -116,19 +103,6 @@
     }
 }
 
-/// The names in the settings; a place in these lists is what the module knows.
-#[derive(Debug)]
-pub struct Names {
-    /// The request classes.
-    pub classes: Vec<String>,
-    /// The tenants.
-    pub tenants: Vec<String>,
-    /// The zones.
-    pub zones: Vec<String>,
-    /// The machine kinds.
-    pub kinds: Vec<String>,
-}
-
 /// All that the gateway is told.
 pub struct Config {
     /// Where clients connect.
@@ -165,6 +139,17 @@
         Config::read(|key, from_file| (key, from_file))
     }
 
+    /// Reads a file and starts nothing.
+    ///
+    /// # Errors
+    /// What is wrong with it.
+    pub fn check(file: &Path) -> Result<Config, ConfigError> {
+        let path = file.display().to_string();
+        let text = fs::read_to_string(file)
+            .map_err(|source| ConfigError::Unreadable { path: path.clone(), source })?;
+        Config::parse(&path, &text, |key, from_file| (key, from_file))
+    }
+
     /// Reads the file; `choose` gives the name and the text that hold for the address with a key.
     fn read(choose: impl Fn(&'static str, String) -> (&'static str, String)) -> Result<Config, ConfigError> {
         let path = env::var("ROUTER_CONFIG").map_err(|_| ConfigError::NotSet)?;
@@ -223,3 +208,16 @@
         _ => Err(ConfigError::Unusable(format!("{name}: {value} is not a time"))),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_shipped_example_is_as_it_should_be() {
+        let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/platform.example.json");
+        let config = Config::check(Path::new(file)).expect("the shipped example");
+        assert_eq!(config.names.classes, ["timetable", "room-status", "enrol-pay", "book-room"]);
+        assert_eq!(config.known.endpoints.len(), 2);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/core/messages.rs
@@ -0,0 +1,166 @@
+//! What the gateway's owner is told, and what it answers: the one way in and the one way out of every front.
+
+use crate::discovery::list::List;
+use crate::exchange::{Answer, Forward};
+use hyper::header::HeaderValue;
+use hyper::StatusCode;
+use ottervane::{Outcome, RequestId};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+/// The gateway's clock starts here, so that hosts started before this process have a time on it.
+const BEFORE_START: Duration = Duration::from_secs(86_400);
+
+/// The final answer to a request.
+#[derive(Debug)]
+pub enum Final {
+    /// Served by a host.
+    Served(Answer),
+    /// Not done; trying again is harmless.
+    Refused {
+        /// How long to keep away; zero for no advice.
+        keep_away: Duration,
+    },
+    /// Not done, or not known to be.
+    Failed(StatusCode),
+}
+
+/// A request that a client is owed an answer to.
+pub struct Arrival {
+    /// What the module is told.
+    pub request: ottervane::Request,
+    /// The client's number for it, `X-Request-ID`.
+    pub number: HeaderValue,
+    /// What goes on to a host.
+    pub forward: Forward,
+    /// Where the answer goes.
+    pub answer: oneshot::Sender<Final>,
+    /// Cleared as soon as no answer is wanted any more.
+    pub open: Rc<Cell<bool>>,
+}
+
+/// What the gateway hears.
+pub enum Message {
+    /// A client's request.
+    Arrived(Box<Arrival>),
+    /// The client has gone.
+    Gone(RequestId),
+    /// An attempt has ended.
+    Ended {
+        /// The request.
+        request: RequestId,
+        /// Which attempt, from 0.
+        attempt: u32,
+        /// When it was sent.
+        sent: Instant,
+        /// How it ended.
+        outcome: Outcome,
+        /// The answer, where it was served.
+        answer: Option<Answer>,
+    },
+    /// News of the hosts.
+    Hosts {
+        /// From which watch, counted from 1.
+        watch: u64,
+        /// What it said.
+        list: List,
+    },
+    /// Discovery is to be asked at this address from now on.
+    Discovery(SocketAddr),
+    /// A watch on the hosts has failed or ended.
+    DiscoveryFailed {
+        /// Which.
+        watch: u64,
+    },
+}
+
+/// What all tasks share: the way to the gateway, the clock, and what is to be seen of its state.
+#[derive(Clone)]
+pub struct Handle {
+    messages: mpsc::UnboundedSender<Message>,
+    requests: Rc<Cell<u64>>,
+    hosts_up: Rc<Cell<bool>>,
+    clock: Clock,
+}
+
+impl Handle {
+    /// A handle, and what is told through it and its clones.
+    pub fn new() -> (Handle, mpsc::UnboundedReceiver<Message>) {
+        let (sender, messages) = mpsc::unbounded_channel();
+        let (requests, hosts_up) = Default::default();
+        (Handle { messages: sender, requests, hosts_up, clock: Clock::new() }, messages)
+    }
+
+    /// Tells the gateway something. Once it is gone the process ends, and nobody is left to be told.
+    pub fn tell(&self, message: Message) {
+        let _ = self.messages.send(message);
+    }
+
+    /// A number for a new request.
+    pub fn next_request(&self) -> RequestId {
+        self.requests.set(self.requests.get() + 1);
+        RequestId(self.requests.get())
+    }
+
+    /// Whether any host takes work.
+    pub fn hosts_up(&self) -> bool {
+        self.hosts_up.get()
+    }
+
+    /// Notes whether any host takes work.
+    pub fn set_hosts_up(&self, up: bool) {
+        self.hosts_up.set(up);
+    }
+
+    /// The time on the module's clock.
+    pub fn time(&self, at: Instant) -> Duration {
+        self.clock.time(at)
+    }
+
+    /// The moment of a time on the module's clock.
+    pub fn instant(&self, time: Duration) -> Instant {
+        self.clock.instant(time)
+    }
+
+    /// The time on the module's clock of a Unix time in milliseconds; none for long ago.
+    pub fn started(&self, unix_ms: u64) -> Option<Duration> {
+        self.clock.started(unix_ms)
+    }
+}
+
+/// The module's clock: monotonic, tied once to the Unix clock that all machines share.
+#[derive(Clone, Copy, Debug)]
+struct Clock {
+    start: Instant,
+    unix: Duration,
+}
+
+impl Clock {
+    fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix }
+    }
+
+    fn time(&self, at: Instant) -> Duration {
+        (BEFORE_START + at.saturating_duration_since(self.start))
+            .saturating_sub(self.start.saturating_duration_since(at))
+    }
+
+    fn instant(&self, time: Duration) -> Instant {
+        if time < BEFORE_START {
+            self.start.checked_sub(BEFORE_START - time).unwrap_or(self.start)
+        } else {
+            self.start + (time - BEFORE_START)
+        }
+    }
+
+    /// The time of a Unix time in milliseconds; none for long ago.
+    fn started(&self, unix_ms: u64) -> Option<Duration> {
+        let time = (BEFORE_START + Duration::from_millis(unix_ms)).checked_sub(self.unix)?;
+        (unix_ms > 0 && !time.is_zero()).then_some(time)
+    }
+}
--- a/src/bin/ottervane-gateway/gateway.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -1,11 +1,16 @@
 //! The sole owner of the decisions, the request table and the timers: events in, actions carried out, outcomes
 //! told. What to do with a request is decided by [`Balancer`] alone.
 
-use crate::config::Names;
-use crate::discovery::{self, Endpoint, List, Status};
-use crate::hosts::{Answer, Attempt, Forward, Host, Pool};
+pub mod messages;
+
+use crate::discovery::list::{Endpoint, List, Status};
+use crate::discovery::watch::watch;
+use crate::exchange::{Answer, Forward};
+use crate::names::Names;
+use crate::upstream::{Attempt, Host, Pool};
 use hyper::header::HeaderValue;
 use hyper::StatusCode;
+use messages::{Arrival, Final, Handle, Message};
 use ottervane::{Action, Balancer, Event, HostId, HostState, Outcome, RequestId, Settings};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::Cell;
@@ -14,142 +19,11 @@
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep_until, Instant};
 
-/// The gateway's clock starts here, so that hosts started before this process have a time on it.
-const BEFORE_START: Duration = Duration::from_secs(86_400);
-
-/// The final answer to a request.
-#[derive(Debug)]
-pub enum Final {
-    /// Served by a host.
-    Served(Answer),
-    /// Not done; trying again is harmless.
-    Refused {
-        /// How long to keep away; zero for no advice.
-        keep_away: Duration,
-    },
-    /// Not done, or not known to be.
-    Failed(StatusCode),
-}
-
-/// A request that a client is owed an answer to.
-pub struct Arrival {
-    /// What the module is told.
-    pub request: ottervane::Request,
-    /// The client's number for it, `X-Request-ID`.
-    pub number: HeaderValue,
-    /// What goes on to a host.
-    pub forward: Forward,
-    /// Where the answer goes.
-    pub answer: oneshot::Sender<Final>,
-    /// Cleared as soon as no answer is wanted any more.
-    pub open: Rc<Cell<bool>>,
-}
-
-/// What the gateway hears.
-pub enum Message {
-    /// A client's request.
-    Arrived(Box<Arrival>),
-    /// The client has gone.
-    Gone(RequestId),
-    /// An attempt has ended.
-    Ended {
-        /// The request.
-        request: RequestId,
-        /// Which attempt, from 0.
-        attempt: u32,
-        /// When it was sent.
-        sent: Instant,
-        /// How it ended.
-        outcome: Outcome,
-        /// The answer, where it was served.
-        answer: Option<Answer>,
-    },
-    /// News of the hosts.
-    Hosts {
-        /// From which watch, counted from 1.
-        watch: u64,
-        /// What it said.
-        list: List,
-    },
-    /// Discovery is to be asked at this address from now on.
-    Discovery(SocketAddr),
-    /// A watch on the hosts has failed or ended.
-    DiscoveryFailed {
-        /// Which.
-        watch: u64,
-    },
-}
-
-/// What all tasks share: the way to the gateway, the clock, and what is to be seen of its state.
-#[derive(Clone)]
-pub struct Handle {
-    messages: mpsc::UnboundedSender<Message>,
-    requests: Rc<Cell<u64>>,
-    hosts_up: Rc<Cell<bool>>,
-    clock: Clock,
-}
-
-impl Handle {
-    /// Tells the gateway something. Once it is gone the process ends, and nobody is left to be told.
-    pub fn tell(&self, message: Message) {
-        let _ = self.messages.send(message);
-    }
-
-    /// A number for a new request.
-    pub fn next_request(&self) -> RequestId {
-        self.requests.set(self.requests.get() + 1);
-        RequestId(self.requests.get())
-    }
-
-    /// Whether any host takes work.
-    pub fn hosts_up(&self) -> bool {
-        self.hosts_up.get()
-    }
-
-    /// The time on the module's clock.
-    pub fn time(&self, at: Instant) -> Duration {
-        self.clock.time(at)
-    }
-}
-
-/// The module's clock: monotonic, tied once to the Unix clock that all machines share.
-#[derive(Clone, Copy, Debug)]
-struct Clock {
-    start: Instant,
-    unix: Duration,
-}
-
-impl Clock {
-    fn new() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), unix }
-    }
-
-    fn time(&self, at: Instant) -> Duration {
-        (BEFORE_START + at.saturating_duration_since(self.start))
-            .saturating_sub(self.start.saturating_duration_since(at))
-    }
-
-    fn instant(&self, time: Duration) -> Instant {
-        if time < BEFORE_START {
-            self.start.checked_sub(BEFORE_START - time).unwrap_or(self.start)
-        } else {
-            self.start + (time - BEFORE_START)
-        }
-    }
-
-    /// The time of a Unix time in milliseconds; none for long ago.
-    fn started(&self, unix_ms: u64) -> Option<Duration> {
-        let time = (BEFORE_START + Duration::from_millis(unix_ms)).checked_sub(self.unix)?;
-        (unix_ms > 0 && !time.is_zero()).then_some(time)
-    }
-}
-
 /// A request that is open or has an attempt out.
 struct Entry {
     number: HeaderValue,
@@ -226,9 +100,7 @@
         pool: Rc<Pool>,
         discovery: SocketAddr,
     ) -> (Gateway, Handle) {
-        let (sender, messages) = mpsc::unbounded_channel();
-        let (requests, hosts_up) = Default::default();
-        let handle = Handle { messages: sender, requests, hosts_up, clock: Clock::new() };
+        let (handle, messages) = Handle::new();
         let gateway = Gateway {
             balancer: Balancer::new(settings.clone(), seed),
             settings,
@@ -308,7 +180,7 @@
                     let _ = answer.send(Final::Failed(StatusCode::CONFLICT)); // a client that has gone wants none
                     return;
                 }
-                let give_up = self.handle.clock.instant(request.give_up_at);
+                let give_up = self.handle.instant(request.give_up_at);
                 let (forward, answer) = (Rc::new(forward), Some(answer));
                 let (attempts, out, last) = (Vec::new(), 0, Outcome::NotSent);
                 self.timers.push(Reverse((give_up, Timer::Backstop(request.id))));
@@ -385,7 +257,7 @@
             }
         }
         self.pool.keep(|id| self.hosts.get(id.0 as usize).is_some_and(|h| h.takes_work.get()));
-        self.handle.hosts_up.set(self.hosts.iter().any(|h| h.takes_work.get()));
+        self.handle.set_hosts_up(self.hosts.iter().any(|h| h.takes_work.get()));
         self.decide(Event::Hosts { full: list.snapshot, hosts: &news });
     }
 
@@ -434,7 +306,7 @@
             state,
             zone: place(&self.names.zones, &entry.zone),
             cell: entry.group,
-            started: self.handle.clock.started(entry.since_ms),
+            started: self.handle.started(entry.since_ms),
             kind: place(&self.names.kinds, &entry.kind),
             weight: entry.weight,
             ..ottervane::Host::new(id, &entry.name)
@@ -444,7 +316,7 @@
     /// Has the module decide, and does what it says.
     fn decide(&mut self, event: Event<'_>) {
         let mut actions = Vec::new();
-        let now = self.handle.clock.time(Instant::now());
+        let now = self.handle.time(Instant::now());
         let deciding = AssertUnwindSafe(|| self.balancer.handle(now, event, &mut actions));
         if catch_unwind(deciding).is_err() {
             return self.start_over();
@@ -466,7 +338,7 @@
         self.numbers = self.requests.values().map(|entry| entry.number.clone()).collect();
         self.timers.clear();
         self.balancer = Balancer::new(self.settings.clone(), self.seed);
-        let (mut actions, now) = (Vec::new(), self.handle.clock.time(Instant::now()));
+        let (mut actions, now) = (Vec::new(), self.handle.time(Instant::now()));
         // Another panic is not caught: a module that cannot take the list in serves nobody, so the process ends.
         self.balancer.handle(now, Event::Hosts { full: true, hosts: &self.listed }, &mut actions);
         for action in actions {
@@ -501,7 +373,7 @@
             Action::Subscribe => {
                 self.watch += 1;
                 let (since, gateway) = (self.version, self.handle.clone());
-                let watching = spawn_local(discovery::watch(self.discovery, since, self.watch, gateway));
+                let watching = spawn_local(watch(self.discovery, since, self.watch, gateway));
                 if let Some(before) = self.watching.replace(watching) {
                     before.abort();
                 }
@@ -517,7 +389,7 @@
     }
 
     fn send(&mut self, id: RequestId, host: HostId, until: Duration) {
-        let until = self.handle.clock.instant(until);
+        let until = self.handle.instant(until);
         let Some(entry) = self.requests.get_mut(&id) else { return };
         let Some(host) = self.hosts.get(host.0 as usize) else { return };
         let cancel = Rc::new(Notify::new());
--- a/src/bin/ottervane-gateway/main.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -1,25 +1,16 @@
-//! The gateway on real sockets: start, wiring, and the way out. The decisions are the library's.
+//! The process: start, wiring, reload, and the way out.
 
-mod clients;
-mod config;
-mod discovery;
-mod gateway;
-mod hosts;
-mod sockets;
-mod wire;
-
-use clients::Server;
-use config::Config;
-use gateway::{Gateway, Handle, Message};
-use hosts::Pool;
-use sockets::Budget;
+use crate::config::platform::Config;
+use crate::core::messages::{Handle, Message};
+use crate::core::Gateway;
+use crate::listeners::http::Server;
+use crate::sockets::Budget;
+use crate::upstream::Pool;
 use std::error::Error;
 use std::net::SocketAddr;
-use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::task::LocalSet;
 
 /// Connections that the kernel holds for us: a burst must find room there.
 const BACKLOG: u32 = 4096;
@@ -45,7 +36,11 @@
     }
 }
 
-async fn serve() -> Result<(), Box<dyn Error>> {
+/// Runs the gateway until it is told to stop.
+///
+/// # Errors
+/// Where it can't start, or has ended without being told to.
+pub async fn serve() -> Result<(), Box<dyn Error>> {
     // Before anything else: by default either signal ends the process.
     let (mut terminate, hang_up) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
     let config = Config::at_start()?;
@@ -83,18 +78,3 @@
         stopped = stopping => stopped,
     }
 }
-
-fn run() -> Result<(), Box<dyn Error>> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, serve())
-}
-
-fn main() -> ExitCode {
-    match run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("ottervane-gateway: {error}");
-            ExitCode::FAILURE
-        }
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/discovery/mod.rs
@@ -0,0 +1,4 @@
+//! News of the hosts: the list, and the watch on its changes.
+
+pub mod list;
+pub mod watch;
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,17 @@
+//! The gateway on real sockets. The decisions are those of [`ottervane`]; here they are carried out.
+//!
+//! A folder for each side: [`core`] owns the module and the request table, [`listeners`] take requests in,
+//! [`upstream`] sends them on, [`discovery`] brings news of the hosts, [`daemon`] is the process, [`config`] what it
+//! is told. [`limits`], [`names`], [`exchange`] and [`sockets`] are leaves that several of them use.
+
+pub mod config;
+pub mod core;
+pub mod daemon;
+pub mod discovery;
+pub mod exchange;
+pub mod limits;
+pub mod listeners;
+pub mod names;
+pub mod sockets;
+pub mod upstream;
+mod wire;
--- a/src/bin/ottervane-gateway/clients.rs
+++ b/crates/gateway/src/listeners/http.rs
@@ -1,8 +1,9 @@
 //! The HTTP server side: takes requests in, has them decided, writes the answers.
 
-use crate::config::Names;
-use crate::gateway::{Arrival, Final, Handle, Message};
-use crate::hosts::{Forward, MAX_BODY, MAX_BUFFER};
+use crate::core::messages::{Arrival, Final, Handle, Message};
+use crate::exchange::Forward;
+use crate::limits::{MAX_BODY, MAX_BUFFER};
+use crate::names::Names;
 use crate::sockets::{Budget, Slot, Slots};
 use crate::wire::{Marks, Wire};
 use bytes::Bytes;
--- /dev/null
+++ b/crates/gateway/src/listeners/mod.rs
@@ -0,0 +1,3 @@
+//! What takes requests in. Every front makes the same [`crate::core::messages::Arrival`] of what it reads.
+
+pub mod http;
--- a/src/bin/ottervane-gateway/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -1,7 +1,6 @@
 //! The budget of descriptors: a fixed share for clients and one for hosts, so that neither starves the other.
 
-use crate::config::Limits;
-use crate::hosts::{MAX_BODY, MAX_BUFFER};
+use crate::limits::{Limits, MAX_BODY, MAX_BUFFER};
 use std::cell::Cell;
 use std::rc::Rc;
 
--- a/src/bin/ottervane-gateway/hosts.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -1,5 +1,7 @@
 //! Connections to hosts: one attempt at a time on each, every attempt counted, every end told apart.
 
+use crate::exchange::{Answer, Forward};
+use crate::limits::{MAX_BODY, MAX_BUFFER};
 use crate::sockets::{Slot, Slots};
 use crate::wire::{Marks, Wire};
 use bytes::Bytes;
@@ -8,7 +10,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::ext::on_informational;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Request, StatusCode, Uri};
+use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use ottervane::{HostId, Outcome};
 use std::cell::{Cell, RefCell};
@@ -26,11 +28,6 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, timeout_at, Instant};
 
-/// The longest body that either side may send.
-pub const MAX_BODY: usize = 64 << 10;
-/// The most that is read ahead of a head or body on one connection.
-pub const MAX_BUFFER: usize = 32 << 10;
-
 /// An answer is whole so long after its first byte. What keeps the connection open after noise, or after less than it
 /// promised, would hold its request until that times out, too late for another try.
 const ANSWER: Duration = Duration::from_millis(100);
@@ -76,28 +73,6 @@
     pub takes_work: Cell<bool>,
 }
 
-/// A client's request, as it goes on to a host.
-#[derive(Debug)]
-pub struct Forward {
-    /// Its method.
-    pub method: Method,
-    /// Its path and query.
-    pub uri: Uri,
-    /// Its end-to-end headers.
-    pub headers: HeaderMap,
-    /// Its body.
-    pub body: Bytes,
-}
-
-/// A host's whole answer with status 200.
-#[derive(Debug)]
-pub struct Answer {
-    /// Its end-to-end headers.
-    pub headers: HeaderMap,
-    /// Its body.
-    pub body: Bytes,
-}
-
 /// One attempt to have a request served.
 pub struct Attempt {
     /// By whom.
