--- /dev/null
+++ b/crates/gateway/tests/replay.rs
@@ -0,0 +1,103 @@
+//! The built gateway between the rig's nodes and clients, on incidents short enough for every change. The ledger
+//! proves the four rules on each.
+
+use ottervane_rig::live::gateways::Program;
+use ottervane_rig::replay::replay;
+use ottervane_rig::report::Report;
+use ottervane_rig::script::Script;
+use std::path::PathBuf;
+
+fn played(name: &str, text: &str) -> Report {
+    let script = Script::parse(name, text).unwrap_or_else(|problems| panic!("{problems}"));
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("replay-{name}"));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let start = Program { path: PathBuf::from(env!("CARGO_BIN_EXE_ottervane-gateway")), folder };
+    let (report, _) = replay(&script, 2, None, &start, &|_, _, _| {}).expect("a run");
+    assert_eq!(report.breaches, [], "{}", report.to_text());
+    report
+}
+
+/// The figure, where this machine was quick enough for one. The rules are proven either way.
+fn service(report: &Report) -> Option<f64> {
+    report.service.as_ref().map(|s| s.whole)
+}
+
+/// Aims that a busy machine keeps too.
+const CLASSES: &str = r#"
+[[class]]
+name = "room-status"
+share = 0.4
+work = "15ms"
+aim = "1s"
+deadline = "4s"
+worth = 3
+[[class]]
+name = "enrol-pay"
+share = 0.3
+work = "20ms"
+aim = "1s"
+deadline = "4s"
+worth = 8
+effect = "keyed"
+group = "all"
+window = "4s"
+[[class]]
+name = "book-room"
+share = 0.3
+work = "25ms"
+aim = "1s"
+deadline = "4s"
+worth = 3
+effect = "keyed"
+group = "rack"
+window = "4s"
+"#;
+
+fn day(name: &str, events: &str) -> Report {
+    let head = format!(
+        "name = \"{name}\"\nlasts = \"5s\"\n[fleet]\ngateways = 2\nnodes = 8\nrack = 2\n[load]\nrate = 80\n\
+         [register]\nnotice = [\"200ms\", \"400ms\"]\nsilent_notice = [\"500ms\", \"800ms\"]\n"
+    );
+    played(name, &format!("{head}{CLASSES}{events}"))
+}
+
+#[test]
+fn serves_a_calm_day() {
+    let report = day("calm", "");
+    assert!(report.counts.asked > 250, "{}", report.to_text());
+    assert!(service(&report).is_none_or(|s| s > 0.98), "{}", report.to_text());
+    assert_eq!(report.counts.fallen, 0);
+}
+
+#[test]
+fn serves_while_nodes_fail_at_once() {
+    let event =
+        "[[event]]\nat = \"1s\"\nlasts = \"2s\"\nwhat = \"fail\"\npart = 0.9\nnodes = [\"n00\", \"n03\"]\n";
+    let report = day("failing", event);
+    assert!(service(&report).is_none_or(|s| s > 0.9), "{}", report.to_text());
+}
+
+#[test]
+fn serves_while_a_zone_is_cut_off_and_comes_back_cold() {
+    let event = "[[event]]\nat = \"1s\"\nlasts = \"2s\"\nwhat = \"cut-off\"\nzone = \"zona-nord\"\n";
+    let report = day("cut-off", event);
+    assert!(service(&report).is_none_or(|s| s > 0.7), "{}", report.to_text());
+    assert_eq!(report.counts.fallen, 0, "{}", report.to_text());
+}
+
+#[test]
+fn serves_while_nodes_drain_and_others_restart() {
+    let events = "[[event]]\nat = \"500ms\"\nwhat = \"drain\"\nnodes = [\"n01\", \"n02\"]\n\
+                  [[event]]\nat = \"1500ms\"\nwhat = \"restart\"\nnodes = [\"n04\", \"n05\"]\ngone = \"400ms\"\n";
+    let report = day("drain", events);
+    assert!(service(&report).is_none_or(|s| s > 0.9), "{}", report.to_text());
+}
+
+#[test]
+fn serves_without_its_register_and_with_connections_that_go_silently() {
+    let events = "[[event]]\nat = \"500ms\"\nlasts = \"2s\"\nwhat = \"register-down\"\nwithout = [\"n06\"]\n\
+                  [[event]]\nat = \"1s\"\nwhat = \"kill\"\nnodes = [\"n02\"]\n\
+                  [[event]]\nat = \"1s\"\nwhat = \"let-go\"\nafter = \"100ms\"\nsilently = true\nshare = 0.5\n";
+    let report = day("register", events);
+    assert!(service(&report).is_none_or(|s| s > 0.85), "{}", report.to_text());
+}
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,20 @@
+//! A rig to rehearse outages on: stand-ins for booking nodes, register, clients and front, scripts of what goes
+//! wrong, and a ledger that proves the four rules from what they saw.
+//!
+//! One script is played by two runners. [`simulate`] plays it in virtual time with the decision module in process;
+//! [`replay`] plays it on loopback sockets with real gateway processes. Both use the same node [`model`], the same
+//! [`plan`] of requests fixed ahead, and the same [`ledger`].
+
+pub mod client;
+pub mod draws;
+pub mod fleet;
+pub mod ledger;
+pub mod live;
+pub mod model;
+pub mod plan;
+pub mod register;
+pub mod replay;
+pub mod report;
+pub mod script;
+pub mod simulate;
+pub mod timeline;
--- /dev/null
+++ b/crates/rig/src/live/register.rs
@@ -0,0 +1,181 @@
+//! The node register on sockets: one address for each gateway, so that it is known who was told what.
+
+use super::http::{Connection, Kind};
+use super::nodes::LiveNode;
+use super::Day;
+use crate::ledger::Told;
+use crate::register::{Call, Entry, List, Register, Status};
+use serde_json::{json, Value};
+use std::cell::RefCell;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::{sleep_until, timeout};
+
+/// While nothing changes, an empty line comes this often.
+const HEARTBEAT: Duration = Duration::from_secs(2);
+
+/// The register of a run.
+pub struct LiveRegister {
+    day: Rc<Day>,
+    model: RefCell<Register>,
+    nodes: Vec<Rc<LiveNode>>,
+    changed: Notify,
+}
+
+impl LiveRegister {
+    /// A register that lists these nodes.
+    pub fn new(day: Rc<Day>, model: Register, nodes: Vec<Rc<LiveNode>>) -> Rc<LiveRegister> {
+        Rc::new(LiveRegister { day, model: RefCell::new(model), nodes, changed: Notify::new() })
+    }
+
+    /// Listens for a gateway; gives the address.
+    ///
+    /// # Errors
+    /// Where no port can be had.
+    pub async fn listen(self: &Rc<Self>, gateway: usize) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let register = self.clone();
+        spawn_local(async move {
+            loop {
+                if let Ok((stream, _)) = listener.accept().await {
+                    let (register, wire) = (register.clone(), Connection::new(stream));
+                    spawn_local(async move { register.serve(wire, gateway).await });
+                }
+            }
+        });
+        Ok(address)
+    }
+
+    /// A node has fallen over.
+    pub fn fell(&self, node: usize, at: Duration) {
+        self.model.borrow_mut().fell(node, at);
+        self.changed.notify_waiters();
+    }
+
+    async fn serve(&self, mut wire: Connection, gateway: usize) {
+        let now = || self.day.clock.now();
+        let Ok(request) = wire.read(Kind::Request, now, |_, _| {}).await else { return };
+        let crate::live::http::First::Request { path, .. } = &request.first else { return };
+        let parameter = |name: &str| {
+            let query = path.split_once('?').map_or("", |(_, query)| query);
+            query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')).map(str::to_owned)
+        };
+        let since = parameter("since").and_then(|n| n.parse().ok()).unwrap_or(0);
+        let follow = parameter("follow").as_deref() == Some("1");
+        let call = self.model.borrow_mut().call(now());
+        let (Call::Answered(at) | Call::Failed(at)) = call;
+        sleep_until(self.day.clock.instant(at)).await;
+        if let Call::Failed(_) = call {
+            let _ = wire.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nConnection: close\r\n\r\n").await;
+            return;
+        }
+        let list = self.model.borrow().since(now(), if follow { since } else { 0 });
+        if !follow {
+            let text = self.line(gateway, &list);
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", text.len());
+            if wire.write((head + &text).as_bytes()).await.is_ok() {
+                self.book(gateway, &list);
+            }
+            return;
+        }
+        if wire.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await.is_err() {
+            return;
+        }
+        self.watch(&mut wire, gateway, list).await;
+    }
+
+    async fn watch(&self, wire: &mut Connection, gateway: usize, first: List) {
+        let mut list = first;
+        let mut version = list.version;
+        let mut said = false;
+        loop {
+            let now = self.day.clock.now();
+            if self.model.borrow().is_down(now) {
+                return wire.reset_on_drop();
+            }
+            let quiet = said && list.entries.is_empty() && !list.whole;
+            let line = if quiet { "\n".to_owned() } else { self.line(gateway, &list) };
+            let chunk = format!("{:x}\r\n{line}\r\n", line.len());
+            if wire.write(chunk.as_bytes()).await.is_err() {
+                return;
+            }
+            self.book(gateway, &list);
+            said = true;
+            let (change, turn) = {
+                let model = self.model.borrow();
+                (model.next_change(now), model.next_turn(now))
+            };
+            let wake = async {
+                match change.into_iter().chain(turn).min() {
+                    Some(at) => sleep_until(self.day.clock.instant(at)).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                _ = timeout(HEARTBEAT, wake) => {}
+                () = self.changed.notified() => {}
+                more = wire.more() => if !more {
+                    return;
+                }
+            }
+            list = self.model.borrow().since(self.day.clock.now(), version);
+            version = list.version;
+        }
+    }
+
+    /// What has been written to a gateway has been told to it.
+    fn book(&self, gateway: usize, list: &List) {
+        let (now, mut ledger) = (self.day.clock.now(), self.day.ledger.borrow_mut());
+        for entry in &list.entries {
+            let told = match entry.status {
+                Status::Active => Told::Up(entry.started),
+                Status::Leaving => Told::Draining,
+                Status::Left => Told::Gone,
+            };
+            ledger.told(gateway, entry.node, now, told);
+        }
+        if list.whole {
+            let listed = |node: &usize| list.entries.iter().any(|e| e.node == *node);
+            for node in (0..self.nodes.len()).filter(|n| !listed(n)) {
+                ledger.told(gateway, node, now, Told::Gone);
+            }
+        }
+    }
+
+    fn line(&self, gateway: usize, list: &List) -> String {
+        let entries: Vec<Value> = list.entries.iter().map(|e| self.entry(gateway, e)).collect();
+        json!({"index": list.version, "snapshot": list.whole, "endpoints": entries}).to_string() + "\n"
+    }
+
+    /// The list as a gateway's configuration holds it at its start.
+    pub fn known(&self, gateway: usize) -> Value {
+        let whole = self.model.borrow().whole(Duration::ZERO);
+        let entries: Vec<Value> = whole.iter().map(|e| self.entry(gateway, e)).collect();
+        json!({"index": 1, "snapshot": true, "endpoints": entries})
+    }
+
+    fn entry(&self, gateway: usize, entry: &Entry) -> Value {
+        let script = &self.day.script;
+        let address = self.nodes[entry.node].address(gateway).map(|a| a.to_string()).unwrap_or_default();
+        let status = match entry.status {
+            Status::Active => "active",
+            Status::Leaving => "leaving",
+            Status::Left => "left",
+        };
+        let since = entry.started.map_or(0, |at| {
+            let ago = self.day.clock.now().saturating_sub(at);
+            let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            unix.saturating_sub(ago).as_millis() as u64
+        });
+        let kind = crate::fleet::kinds(script)[entry.node];
+        json!({"name": script.node_name(entry.node), "address": address, "status": status, "weight": 1.0,
+            "zone": script.fleet.zones[script.zone_of(entry.node)], "type": script.fleet.kinds[kind].name,
+            "group": script.rack_of(entry.node), "since_ms": since})
+    }
+}
--- /dev/null
+++ b/crates/rig/src/main.rs
@@ -0,0 +1,178 @@
+//! The rig's command line: play a script on sockets or in virtual time, or check it.
+
+use clap::{Parser, Subcommand};
+use ottervane_rig::live::gateways::Program;
+use ottervane_rig::replay::replay;
+use ottervane_rig::report::{Counts, Report};
+use ottervane_rig::script::Script;
+use ottervane_rig::simulate::simulate;
+use ottervane_rig::timeline::svg;
+use std::error::Error;
+use std::io::{IsTerminal, Write};
+use std::path::{Path, PathBuf};
+use std::process::{Command, ExitCode};
+use std::time::Duration;
+
+/// Rehearse incidents of the booking service against stand-in nodes.
+///
+/// Exit codes: 0, all rules kept and the figure counts; 1, a rule was broken; 2, the script, the command or a file is
+/// not as it should be; 3, the machine was too busy or a gateway ended, so there is no figure.
+#[derive(Parser)]
+#[command(name = "ottervane-rig", version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Sub,
+}
+
+#[derive(Subcommand)]
+enum Sub {
+    /// Play a script on loopback sockets with real gateway processes.
+    Replay {
+        #[command(flatten)]
+        play: Play,
+        /// The gateway's program; without it the one of this workspace is built and used.
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
+    /// Play a script in virtual time with the decision module in process.
+    Simulate {
+        #[command(flatten)]
+        play: Play,
+    },
+    /// Say whether a script is as it should be.
+    Check {
+        /// The script.
+        script: PathBuf,
+    },
+}
+
+#[derive(clap::Args)]
+struct Play {
+    /// The script.
+    script: PathBuf,
+    /// The seed of all draws; the same one gives the same day.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How many gateways, in place of what the script says.
+    #[arg(long)]
+    gateways: Option<usize>,
+    /// Write the report as JSON to this file.
+    #[arg(long)]
+    json: Option<PathBuf>,
+    /// Write the timeline as SVG to this file.
+    #[arg(long)]
+    svg: Option<PathBuf>,
+}
+
+fn read(path: &Path) -> Result<Script, Box<dyn Error>> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    Ok(Script::parse(&path.display().to_string(), &text)?)
+}
+
+/// The gateway's program of this workspace, built if need be.
+fn program() -> Result<PathBuf, Box<dyn Error>> {
+    let own = std::env::current_exe()?;
+    let folder = own.parent().ok_or("the rig's program lies in no folder")?;
+    let path = folder.join("ottervane-gateway");
+    // Started by cargo, the workspace is at hand, and what was built before may be older than its sources.
+    if let Some(cargo) = std::env::var_os("CARGO") {
+        let manifest = concat!(env!("CARGO_MANIFEST_DIR"), "/../../Cargo.toml");
+        let mut build = Command::new(cargo);
+        build.args(["build", "--locked", "--quiet", "-p", "ottervane-gateway", "--manifest-path", manifest]);
+        if folder.ends_with("release") {
+            build.arg("--release");
+        }
+        if !build.status()?.success() {
+            return Err("the gateway does not build".into());
+        }
+    }
+    if !path.exists() {
+        let text = "is not there: build it with cargo build --release, or name it with --program";
+        return Err(format!("{} {text}", path.display()).into());
+    }
+    Ok(path)
+}
+
+fn finish(play: &Play, report: &Report) -> Result<ExitCode, Box<dyn Error>> {
+    print!("{}", report.to_text());
+    let write =
+        |path: &Path, text: &str| std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()));
+    if let Some(path) = &play.json {
+        write(path, &report.to_json())?;
+    }
+    if let Some(path) = &play.svg {
+        write(path, &svg(report)?)?;
+    }
+    Ok(match report {
+        report if !report.breaches.is_empty() => ExitCode::from(1),
+        report if report.unsound.is_some() => ExitCode::from(3),
+        _ => ExitCode::SUCCESS,
+    })
+}
+
+/// A live line on a terminal, a line every five seconds elsewhere.
+fn progress(lasts: Duration, at: Duration, counts: Counts, in_time: u64) {
+    let (at, lasts) = (at.as_secs(), lasts.as_secs());
+    let line = format!(
+        "{at:>4} s of {lasts} s: {} asked, {in_time} served in time, {} refused, {} failed, {} nodes fell over",
+        counts.asked, counts.refused, counts.failed, counts.fallen
+    );
+    let mut out = std::io::stderr();
+    if out.is_terminal() {
+        let _ = write!(out, "\r{line} "); // progress that can't be shown is no reason to stop
+        let _ = if at >= lasts { writeln!(out) } else { out.flush() };
+    } else if at % 5 == 0 || at >= lasts {
+        let _ = writeln!(out, "{line}");
+    }
+}
+
+fn run(arguments: Arguments) -> Result<ExitCode, Box<dyn Error>> {
+    match arguments.command {
+        Sub::Check { script } => {
+            let script = read(&script)?;
+            println!("{}: {}", script.name, script.about);
+            Ok(ExitCode::SUCCESS)
+        }
+        Sub::Simulate { play } => {
+            let script = read(&play.script)?;
+            let began = std::time::Instant::now();
+            let (report, cost) = simulate(&script, play.seed, play.gateways)?;
+            let code = finish(&play, &report)?;
+            eprintln!(
+                "{:.2} s of wall time, {:.1} us of decisions a request",
+                began.elapsed().as_secs_f64(),
+                cost.per_request().as_secs_f64() * 1e6
+            );
+            Ok(code)
+        }
+        Sub::Replay { play, program: named } => {
+            let script = read(&play.script)?;
+            let path = named.map_or_else(program, Ok)?;
+            let folder = std::env::temp_dir().join(format!("ottervane-rig-{}", std::process::id()));
+            std::fs::create_dir_all(&folder)?;
+            let start = Program { path, folder: folder.clone() };
+            let show = |at, counts, in_time| progress(script.lasts, at, counts, in_time);
+            let played = replay(&script, play.seed, play.gateways, &start, &show);
+            let _ = std::fs::remove_dir_all(&folder); // what is left there harms nobody
+            let (report, spent) = played?;
+            let code = finish(&play, &report)?;
+            let share = |spent: Option<Duration>| {
+                spent.map_or("unknown".to_owned(), |cpu| {
+                    format!("{:.1}% of a core", 100.0 * cpu.as_secs_f64() / script.lasts.as_secs_f64())
+                })
+            };
+            eprintln!("gateways: {}; rig: {}", share(spent.gateways), share(spent.rig));
+            Ok(code)
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match run(Arguments::parse()) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/report.rs
@@ -0,0 +1,223 @@
+//! What a run has shown: as JSON, as text, and the samples behind its timeline.
+
+use crate::ledger::{Breach, Got, Ledger, Service, Tally};
+use crate::plan::Asked;
+use crate::script::Script;
+use serde::Serialize;
+use std::fmt::Write as _;
+use std::time::Duration;
+
+/// How often something happened.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Counts {
+    /// First tries.
+    pub asked: u64,
+    /// All tries.
+    pub tries: u64,
+    /// Tries that were served, in time or not.
+    pub served: u64,
+    /// Tries that were refused.
+    pub refused: u64,
+    /// Tries that failed, or were given up.
+    pub failed: u64,
+    /// Tries that no gateway took.
+    pub unreachable: u64,
+    /// Attempts that reached nodes.
+    pub attempts: u64,
+    /// Connections opened to nodes.
+    pub connections: u64,
+    /// Repeats that nodes dropped.
+    pub repeats_dropped: u64,
+    /// Nodes that fell over.
+    pub fallen: u64,
+}
+
+/// The state of the run at a time.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Sample {
+    /// When, in seconds.
+    pub at_s: f64,
+    /// Tries a second, first ones and repeats.
+    pub asked: f64,
+    /// Answers a second that came in time.
+    pub in_time: f64,
+    /// Refusals a second.
+    pub refused: f64,
+    /// Failures a second.
+    pub failed: f64,
+    /// Requests that nodes hold.
+    pub held: usize,
+    /// Nodes that are up and warm.
+    pub warm: usize,
+    /// Nodes that are up and cold.
+    pub cold: usize,
+    /// Nodes that drain.
+    pub draining: usize,
+    /// Nodes that are choked.
+    pub choked: usize,
+    /// Nodes that are gone, silent or fallen over.
+    pub down: usize,
+}
+
+/// How a run was played.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Runner {
+    /// In virtual time, with the decision module in process.
+    VirtualTime,
+    /// On loopback sockets, with real gateways.
+    Sockets,
+}
+
+/// How late the machine was, where time was real.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Lateness {
+    /// The share of first tries that were sent more than 20 ms late.
+    pub late_share: f64,
+    /// The lateness that a hundredth of the first tries exceeded, in milliseconds.
+    pub p99_ms: f64,
+    /// The longest time for which the rig itself did not run, in milliseconds.
+    pub longest_stall_ms: f64,
+}
+
+impl Lateness {
+    /// Why the run counts for nothing, where the machine was too busy for it.
+    pub fn too_busy(&self) -> Option<String> {
+        (self.late_share > 0.02 || self.longest_stall_ms > 500.0).then(|| {
+            format!(
+                "the machine was too busy: {:.1}% of the requests were sent more than 20 ms late, the longest stall \
+                 was {:.0} ms; run it again with fewer gateways, a lower rate, or less beside it",
+                100.0 * self.late_share,
+                self.longest_stall_ms
+            )
+        })
+    }
+}
+
+/// What a run has shown.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Report {
+    /// The script's name.
+    pub script: String,
+    /// The seed.
+    pub seed: u64,
+    /// How it was played.
+    pub runner: Runner,
+    /// How many gateways.
+    pub gateways: usize,
+    /// How many nodes.
+    pub nodes: usize,
+    /// The service; none where the machine was too busy to tell.
+    pub service: Option<Service>,
+    /// The rules that were broken, each with its request and what happened.
+    pub breaches: Vec<Breach>,
+    /// Why there is no service figure.
+    pub unsound: Option<String>,
+    /// What happened how often.
+    pub counts: Counts,
+    /// How late the machine was.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub lateness: Option<Lateness>,
+    /// The state over time.
+    pub timeline: Vec<Sample>,
+}
+
+impl Report {
+    /// Whether all rules were kept and the figure counts.
+    pub fn sound(&self) -> bool {
+        self.breaches.is_empty() && self.unsound.is_none()
+    }
+
+    /// The report as JSON, the same bytes for the same run.
+    pub fn to_json(&self) -> String {
+        // Only a map with keys that are no text can fail, and there is none.
+        serde_json::to_string_pretty(self).unwrap_or_default() + "\n"
+    }
+
+    /// The report for a person.
+    pub fn to_text(&self) -> String {
+        let mut text = String::new();
+        let c = &self.counts;
+        let how = match self.runner {
+            Runner::VirtualTime => "in virtual time",
+            Runner::Sockets => "on sockets",
+        };
+        let _ = writeln!(
+            text,
+            "{} {how}, seed {}: {} gateways, {} nodes",
+            self.script, self.seed, self.gateways, self.nodes
+        );
+        let _ = writeln!(
+            text,
+            "  {} asked, {} tries: {} served, {} refused, {} failed, {} unreachable",
+            c.asked, c.tries, c.served, c.refused, c.failed, c.unreachable
+        );
+        let _ = writeln!(
+            text,
+            "  {} attempts on {} connections, {} repeats dropped, {} nodes fell over",
+            c.attempts, c.connections, c.repeats_dropped, c.fallen
+        );
+        match (&self.service, &self.unsound) {
+            (_, Some(why)) => {
+                let _ = writeln!(text, "  no figure: {why}");
+            }
+            (Some(s), None) => {
+                let _ = writeln!(text, "  service {:.4} of the whole run", s.whole);
+                let worst = [("10 s", &s.worst_10s), ("class", &s.worst_class), ("tenant", &s.worst_tenant)];
+                for (what, w) in worst {
+                    let _ = writeln!(text, "  service {:.4} of the worst {what}: {}", w.service, w.name);
+                }
+            }
+            (None, None) => {}
+        }
+        if self.breaches.is_empty() {
+            let _ = writeln!(text, "  all rules kept");
+        }
+        for breach in self.breaches.iter().take(10) {
+            let request = breach.request.as_deref().unwrap_or("-");
+            let _ = writeln!(text, "  BROKEN {:?} at {:.3} s, request {request}", breach.rule, breach.at_s);
+            breach.events.iter().for_each(|event| {
+                let _ = writeln!(text, "    {event}");
+            });
+        }
+        if self.breaches.len() > 10 {
+            let _ =
+                writeln!(text, "  and {} more breaches; the JSON report has all", self.breaches.len() - 10);
+        }
+        text
+    }
+}
+
+/// What became of each first try: it or a retry was served within its aim, counted from when it was first asked.
+pub fn tallies(
+    script: &Script,
+    day: &[Asked],
+    ledger: &Ledger,
+    tries: &[Vec<(u64, Duration)>],
+) -> Vec<Tally> {
+    let tally = |asked: &Asked| {
+        let tries = tries.get(asked.place).map(Vec::as_slice).unwrap_or_default();
+        let first = tries.first().map_or(asked.at, |(_, at)| *at);
+        let aim = first + script.classes[asked.class].aim;
+        let in_time = tries.iter().any(|(number, _)| {
+            let got = ledger.of(*number).and_then(|r| r.got.first());
+            got.is_some_and(|(at, got)| *got == Got::Served && *at <= aim)
+        });
+        Tally {
+            at: asked.at,
+            class: asked.class,
+            tenant: asked.tenant,
+            worth: asked.worth,
+            in_share: asked.in_share,
+            in_time,
+        }
+    };
+    day.iter().map(tally).collect()
+}
+
+/// The service of a run.
+pub fn service(script: &Script, tallies: &[Tally]) -> Service {
+    let classes: Vec<_> = script.classes.iter().map(|c| c.name.clone()).collect();
+    let tenants: Vec<_> = script.tenants.iter().map(|t| t.name.clone()).collect();
+    Service::count(tallies, &classes, &tenants)
+}
--- /dev/null
+++ b/crates/rig/src/script/read.rs
@@ -0,0 +1,446 @@
+//! From TOML to a script, with every error told.
+
+use super::{
+    defaults, Class, Clients, Event, Fleet, Kind, Limits, Load, Network, Register, Script, Shape, Tenant,
+    What, Whom,
+};
+use crate::model::{ChokeSpec, Distribution, PauseSpec, WarmBy};
+use ottervane::{Effect, Group};
+use ottervane_settings::{Document, Named, Problems, Table};
+use std::time::Duration;
+
+impl Named for Shape {
+    const WORDS: &'static [(&'static str, Shape)] =
+        &[("steady", Shape::Steady), ("wave", Shape::Wave), ("ramp", Shape::Ramp)];
+}
+
+impl Named for Distribution {
+    const WORDS: &'static [(&'static str, Distribution)] = &[
+        ("fixed", Distribution::Fixed),
+        ("exponential", Distribution::Exponential),
+        ("log-normal", Distribution::LogNormal),
+    ];
+}
+
+impl Named for WarmBy {
+    const WORDS: &'static [(&'static str, WarmBy)] = &[("time", WarmBy::Time), ("work", WarmBy::Work)];
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum EffectWord {
+    Safe,
+    Keyed,
+    Unsafe,
+}
+
+impl Named for EffectWord {
+    const WORDS: &'static [(&'static str, EffectWord)] =
+        &[("safe", EffectWord::Safe), ("keyed", EffectWord::Keyed), ("unsafe", EffectWord::Unsafe)];
+}
+
+#[derive(Clone, Copy, Debug)]
+struct GroupWord(Group);
+
+impl Named for GroupWord {
+    const WORDS: &'static [(&'static str, GroupWord)] =
+        &[("all", GroupWord(Group::All)), ("zone", GroupWord(Group::Zone)), ("rack", GroupWord(Group::Cell))];
+}
+
+/// The longest day, and the latest moment of one.
+const LONGEST: Duration = Duration::from_secs(24 * 3600);
+const SHARE: std::ops::RangeInclusive<f64> = 0.0..=1.0;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// See [`Script::parse`].
+pub(super) fn script(file: &str, text: &str) -> Result<Script, Problems> {
+    let document = Document::parse(file, text)?;
+    let root = document.root();
+    let name = root.need::<String>("name").unwrap_or_default();
+    let about = root.or("about", String::new());
+    let lasts = root.within("lasts", ms(100)..=LONGEST, ms(20_000));
+    let (fleet, load, clients) = (fleet(&root), load(&root), clients(&root));
+    let classes = classes(&root);
+    let tenants = tenants(&root);
+    let (register, network, limits) = (register(&root), network(&root), limits(&root));
+    let events = events(&root, &fleet, &classes, lasts);
+    root.finish();
+    document.check(Script {
+        name,
+        about,
+        lasts,
+        fleet,
+        load,
+        clients,
+        classes,
+        tenants,
+        register,
+        network,
+        limits,
+        events,
+    })
+}
+
+/// A table of the file, read by `read`; where it is left out, what an empty one gives.
+fn section<T>(root: &Table<'_, '_>, key: &str, read: impl Fn(&Table<'_, '_>) -> T) -> T {
+    match root.table(key) {
+        Some(table) => {
+            let value = read(&table);
+            table.finish();
+            value
+        }
+        None => match Document::parse("", "") {
+            Ok(empty) => read(&empty.root()),
+            Err(_) => unreachable!("an empty text is an empty table"),
+        },
+    }
+}
+
+fn fleet(root: &Table<'_, '_>) -> Fleet {
+    section(root, "fleet", |t| {
+        let zones = t.or("zones", vec!["via-dante".to_owned(), "zona-nord".to_owned()]);
+        if zones.is_empty() {
+            t.wrong("zones", "names no zone");
+        }
+        let zones = if zones.is_empty() { vec!["a".to_owned()] } else { zones };
+        let gateways = t.within("gateways", 1..=1000, 2u64) as usize;
+        let nodes = t.within("nodes", 1..=1000, 12u64) as usize;
+        let rack = t.within("rack", 1..=1000, 3u64) as usize;
+        let tables = t.tables("kind");
+        let mut kinds: Vec<Kind> = tables.iter().map(kind).collect();
+        if kinds.is_empty() {
+            kinds = defaults::kinds();
+            // What is said of all nodes stands beside them.
+            kinds.iter_mut().for_each(|k| node(t, k));
+        }
+        if kinds.iter().map(|k| k.share).sum::<f64>() <= 0.0 {
+            t.wrong("kind", "the shares of all kinds together are 0");
+        }
+        Fleet { zones, gateways, nodes, rack, kinds }
+    })
+}
+
+fn kind(t: &Table<'_, '_>) -> Kind {
+    let name = t.need::<String>("name").unwrap_or_default();
+    let share = t.within("share", SHARE, 1.0);
+    let mut kind = defaults::kind(&name, share, (1.0, 1.0));
+    node(t, &mut kind);
+    t.finish();
+    kind
+}
+
+/// What may be said of a kind of nodes, or of all of them.
+fn node(t: &Table<'_, '_>, kind: &mut Kind) {
+    kind.speed = positive(t, "speed", kind.speed);
+    kind.report_every = t.or("report_every", kind.report_every);
+    if kind.report_every.0 < ms(1) {
+        t.wrong("report_every", "is under 1ms");
+        kind.report_every = (ms(1), ms(1));
+    }
+    kind.report_late = t.or("report_late", kind.report_late);
+    let s = &mut kind.spec;
+    s.report.noise = t.within("report_noise", SHARE, s.report.noise);
+    s.cores = t.within("cores", 1..=256, u64::from(s.cores)) as u32;
+    s.slots = t.within("slots", 1..=100_000, u64::from(s.slots)) as u32;
+    s.queue = t.within("queue", 0..=1_000_000, u64::from(s.queue)) as u32;
+    s.crowding = t.within("crowding", 0.0..=0.95, s.crowding);
+    s.crowded_at = t.within("crowded_at", 0.0..=1e6, s.crowded_at);
+    s.cold_from = t.within("cold_from", 0.01..=1.0, s.cold_from);
+    s.cold_for = t.within("cold_for", ms(1)..=LONGEST, s.cold_for);
+    s.warm_by = t.or("warm_by", s.warm_by);
+    s.fall_at = t.within("fall_at", 0.1..=1e6, s.fall_at);
+    s.fall_over = t.within("fall_over", ms(10)..=LONGEST, s.fall_over);
+    s.error_rate = t.within("error_rate", SHARE, s.error_rate);
+    s.connections = t.within("connections", 1..=1_000_000, u64::from(s.connections)) as u32;
+    s.handshake = t
+        .within("handshake", Duration::ZERO..=ms(10_000), Duration::from_secs_f64(s.handshake))
+        .as_secs_f64();
+    s.connection_tax = t.within("connection_tax", 0.0..=0.95, s.connection_tax);
+    s.keep_alive = t.within("keep_alive", ms(10)..=LONGEST, s.keep_alive);
+    s.drops_expired = t.or("drops_expired", s.drops_expired);
+    s.cancels = t.or("cancels", s.cancels);
+    s.key_gain = t.within("key_gain", 0.0..=0.99, s.key_gain);
+    s.key_for = t.within("key_for", Duration::ZERO..=LONGEST, s.key_for);
+    s.key_places = t.within("key_places", 0..=100_000, s.key_places as u64) as usize;
+    if let Some(t) = t.table("choke") {
+        let d = s.choke.unwrap_or_else(defaults::choke);
+        s.choke = Some(ChokeSpec {
+            at: t.within("at", 0.0..=1e6, d.at),
+            over: t.within("over", ms(10)..=LONGEST, d.over),
+            slower: t.within("slower", 1.0..=1000.0, d.slower),
+            below: t.within("below", SHARE, d.below),
+            rest: t.within("rest", ms(10)..=LONGEST, d.rest),
+            most: t.within("most", ms(10)..=LONGEST, d.most),
+        });
+        t.finish();
+    }
+    if let Some(t) = t.table("pause") {
+        let d = s.pause.unwrap_or(PauseSpec { every: ms(7000), lasts: ms(20), grows: 0.0 });
+        let every = t.within("every", ms(10)..=LONGEST, d.every);
+        let lasts = t.within("lasts", Duration::ZERO..=LONGEST, d.lasts);
+        s.pause = Some(PauseSpec { every, lasts, grows: t.within("grows", 0.0..=100.0, d.grows) });
+        t.finish();
+    }
+}
+
+/// A range of numbers above 0.
+fn positive(t: &Table<'_, '_>, key: &str, otherwise: (f64, f64)) -> (f64, f64) {
+    let range: (f64, f64) = t.or(key, otherwise);
+    if range.0 > 0.0 {
+        return range;
+    }
+    t.wrong(key, "is to be above 0");
+    otherwise
+}
+
+fn load(root: &Table<'_, '_>) -> Load {
+    section(root, "load", |t| Load {
+        rate: t.within("rate", 0.1..=1e6, 300.0),
+        shape: t.or("shape", Shape::Steady),
+        swing: t.within("swing", SHARE, 0.12),
+        period: t.within("period", ms(100)..=LONGEST, ms(10_000)),
+        keys: t.within("keys", 0..=10_000_000, 2400) as usize,
+        skew: t.within("skew", 0.0..=5.0, 0.75),
+        zone_skew: t.within("zone_skew", 0.0..=10.0, 0.25),
+    })
+}
+
+fn clients(root: &Table<'_, '_>) -> Clients {
+    section(root, "clients", |t| {
+        let try_share: (f64, f64) = t.or("try_share", (0.5, 0.6));
+        if try_share.0 <= 0.0 || try_share.1 > 1.0 {
+            t.wrong("try_share", "is to lie above 0 and not above 1");
+        }
+        Clients {
+            retries: t.within("retries", 0..=100, 2) as u32,
+            try_share,
+            wait: t.within("wait", Duration::ZERO..=LONGEST, ms(40)),
+            heed: t.within("heed", SHARE, 0.2),
+            fresh_connections: t.within("fresh_connections", SHARE, 0.0),
+        }
+    })
+}
+
+fn classes(root: &Table<'_, '_>) -> Vec<Class> {
+    let tables = root.tables("class");
+    if tables.is_empty() {
+        return defaults::classes();
+    }
+    let mut classes = Vec::new();
+    for t in &tables {
+        let group = t.or("group", GroupWord(Group::All)).0;
+        let window = t.within("window", Duration::ZERO..=LONGEST, ms(1200));
+        let effect = match t.or("effect", EffectWord::Safe) {
+            EffectWord::Safe => Effect::Safe,
+            EffectWord::Unsafe => Effect::Unsafe,
+            EffectWord::Keyed => Effect::Keyed { group, window },
+        };
+        if !matches!(effect, Effect::Keyed { .. }) {
+            for key in ["group", "window"].into_iter().filter(|key| t.has(key)) {
+                t.wrong(key, "goes with effect = \"keyed\" only");
+            }
+        }
+        let aim = t.within("aim", ms(1)..=LONGEST, ms(300));
+        let deadline = t.within("deadline", ms(1)..=LONGEST, ms(1200));
+        if aim > deadline {
+            t.wrong("aim", "is longer than the deadline");
+        }
+        classes.push(Class {
+            name: t.need::<String>("name").unwrap_or_default(),
+            share: t.within("share", SHARE, 1.0),
+            work: t.within("work", Duration::from_micros(1)..=LONGEST, ms(50)),
+            distribution: t.or("distribution", Distribution::LogNormal),
+            spread: t.within("spread", 0.0..=20.0, 0.5),
+            attempt_spread: t.within("attempt_spread", 0.0..=20.0, 0.2),
+            aim,
+            deadline,
+            worth: t.within("worth", 0.0..=1e6, 1.0),
+            effect,
+        });
+        t.finish();
+    }
+    if classes.iter().map(|c| c.share).sum::<f64>() <= 0.0 {
+        root.wrong("class", "the shares of all classes together are 0");
+    }
+    classes
+}
+
+fn tenants(root: &Table<'_, '_>) -> Vec<Tenant> {
+    let tables = root.tables("tenant");
+    if tables.is_empty() {
+        return defaults::tenants();
+    }
+    let tenant = |t: &Table<'_, '_>| {
+        let tenant = Tenant {
+            name: t.need::<String>("name").unwrap_or_default(),
+            share: t.within("share", SHARE, 1.0),
+            usage: t.within("usage", 0.0..=1000.0, 1.0),
+        };
+        t.finish();
+        tenant
+    };
+    let tenants: Vec<Tenant> = tables.iter().map(tenant).collect();
+    if tenants.iter().map(|t| t.share * t.usage).sum::<f64>() <= 0.0 {
+        root.wrong("tenant", "all tenants together ask nothing");
+    }
+    tenants
+}
+
+fn register(root: &Table<'_, '_>) -> Register {
+    section(root, "register", |t| Register {
+        notice: t.or("notice", (ms(1000), ms(3000))),
+        silent_notice: t.or("silent_notice", (ms(4000), ms(8000))),
+        call: t.within("call", Duration::ZERO..=ms(60_000), ms(5)),
+        timeout: t.within("timeout", ms(1)..=ms(600_000), ms(2000)),
+    })
+}
+
+fn network(root: &Table<'_, '_>) -> Network {
+    section(root, "network", |t| Network {
+        client: t.within("client", Duration::ZERO..=ms(10_000), Duration::from_micros(900)),
+        same: t.within("same", Duration::ZERO..=ms(10_000), Duration::from_micros(180)),
+        cross: t.within("cross", Duration::ZERO..=ms(10_000), ms(1)),
+        jitter: t.within("jitter", SHARE, 0.15),
+    })
+}
+
+fn limits(root: &Table<'_, '_>) -> Limits {
+    section(root, "limits", |t| Limits {
+        memory_mb: t.within("memory_mb", 16..=1_000_000, 192),
+        sockets: t.within("sockets", 48..=1_000_000, 1024),
+        attempts: t.within("attempts", 1..=100, 6),
+        retry_after: t.get("retry_after"),
+        dial: t.within("dial", ms(1)..=ms(60_000), ms(100)),
+    })
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Kinds {
+    Fail,
+    Neighbour,
+    Heavy,
+    Slow,
+    Pause,
+    Kill,
+    CutOff,
+    Restart,
+    Drain,
+    LetGo,
+    RegisterDown,
+    Surge,
+}
+
+impl Named for Kinds {
+    const WORDS: &'static [(&'static str, Kinds)] = &[
+        ("fail", Kinds::Fail),
+        ("neighbour", Kinds::Neighbour),
+        ("heavy", Kinds::Heavy),
+        ("slow", Kinds::Slow),
+        ("pause", Kinds::Pause),
+        ("kill", Kinds::Kill),
+        ("cut-off", Kinds::CutOff),
+        ("restart", Kinds::Restart),
+        ("drain", Kinds::Drain),
+        ("let-go", Kinds::LetGo),
+        ("register-down", Kinds::RegisterDown),
+        ("surge", Kinds::Surge),
+    ];
+}
+
+fn events(root: &Table<'_, '_>, fleet: &Fleet, classes: &[Class], lasts: Duration) -> Vec<Event> {
+    root.tables("event").iter().filter_map(|t| event(t, fleet, classes, lasts)).collect()
+}
+
+fn event(t: &Table<'_, '_>, fleet: &Fleet, classes: &[Class], day: Duration) -> Option<Event> {
+    let at = t.need::<Duration>("at");
+    if at.is_some_and(|at| at >= day) {
+        t.wrong("at", format!("lies behind the end of the day, which lasts {day:?}"));
+    }
+    let lasts: Option<Duration> = t.get("lasts");
+    let kind = t.need::<Kinds>("what");
+    let whom = whom(t, fleet);
+    let names_nodes = ["nodes", "zone", "share"].iter().any(|key| t.has(key));
+    let what = match kind? {
+        Kinds::Fail => What::Fail { share: t.within("part", SHARE, 0.7) },
+        Kinds::Neighbour => {
+            let takes = t.within("takes", 0.0..=0.99, 0.5);
+            let turns: (Duration, Duration) = t.or("turns", (ms(1200), ms(4300)));
+            if turns.0 < ms(10) {
+                t.wrong("turns", "is under 10ms");
+            }
+            What::Neighbour { takes, turns: (turns.0.max(ms(10)), turns.1.max(ms(10))) }
+        }
+        Kinds::Heavy => {
+            let class = t.need::<String>("class").unwrap_or_default();
+            let place = classes.iter().position(|c| c.name == class);
+            if place.is_none() && t.has("class") {
+                let names: Vec<_> = classes.iter().map(|c| c.name.as_str()).collect();
+                t.wrong("class", format!("{class:?} is no class; there are {}", names.join(", ")));
+            }
+            let part = t.within("part", SHARE, 0.02);
+            What::Heavy { class: place.unwrap_or(0), part, times: positive(t, "times", (8.0, 27.0)) }
+        }
+        Kinds::Slow => What::Slow { times: t.within("times", 1.0..=1000.0, 3.0) },
+        Kinds::Pause => What::Pause,
+        Kinds::Kill => What::Kill,
+        Kinds::CutOff => What::CutOff,
+        Kinds::Restart => {
+            let gone = t.within("gone", Duration::ZERO..=LONGEST, ms(500));
+            What::Restart { gone, apart: t.within("apart", Duration::ZERO..=LONGEST, Duration::ZERO) }
+        }
+        Kinds::Drain => What::Drain,
+        Kinds::LetGo => {
+            let after = t.within("after", ms(10)..=LONGEST, ms(1000));
+            What::LetGo { after, silently: t.or("silently", false) }
+        }
+        Kinds::RegisterDown => {
+            let names: Vec<String> = t.or("without", Vec::new());
+            What::RegisterDown { without: numbers(t, "without", &names, fleet) }
+        }
+        Kinds::Surge => What::Surge { times: t.within("times", 0.0..=1000.0, 2.0) },
+    };
+    if names_nodes && matches!(what, What::Heavy { .. } | What::RegisterDown { .. } | What::Surge { .. }) {
+        t.wrong("what", "meets no nodes: leave nodes, zone and share out");
+    }
+    if lasts.is_none() && matches!(what, What::Pause) {
+        t.wrong("what", "needs lasts, or the nodes do nothing for ever");
+    }
+    if lasts.is_some() && matches!(what, What::Restart { .. }) {
+        t.wrong("lasts", "goes with other events; say how long each node is gone with gone");
+    }
+    t.finish();
+    Some(Event { at: at?, lasts, whom, what })
+}
+
+fn whom(t: &Table<'_, '_>, fleet: &Fleet) -> Whom {
+    let given: Vec<&str> = ["nodes", "zone", "share"].into_iter().filter(|key| t.has(key)).collect();
+    if let [_, second, ..] = given[..] {
+        t.wrong(second, format!("say who is met once: {} stand here", given.join(" and ")));
+    }
+    if let Some(names) = t.get::<Vec<String>>("nodes") {
+        return Whom::Nodes(numbers(t, "nodes", &names, fleet));
+    }
+    if let Some(zone) = t.get::<String>("zone") {
+        match fleet.zones.iter().position(|z| *z == zone) {
+            Some(place) => return Whom::Zone(place),
+            None => t.wrong("zone", format!("{zone:?} is no zone; there are {}", fleet.zones.join(", "))),
+        }
+    }
+    if t.has("share") {
+        return Whom::Share(t.within("share", SHARE, 0.0));
+    }
+    Whom::All
+}
+
+/// The numbers of nodes that are named `n00` and so on.
+fn numbers(t: &Table<'_, '_>, key: &str, names: &[String], fleet: &Fleet) -> Vec<usize> {
+    let number =
+        |name: &String| name.strip_prefix('n').and_then(|n| n.parse().ok()).filter(|&n| n < fleet.nodes);
+    let wrong = names.iter().find(|name| number(name).is_none());
+    if let Some(name) = wrong {
+        t.wrong(key, format!("{name:?} is no node; they are n00 to n{:02}", fleet.nodes - 1));
+    }
+    names.iter().filter_map(number).collect()
+}
--- /dev/null
+++ b/crates/rig/src/simulate.rs
@@ -0,0 +1,857 @@
+//! A script in virtual time: nodes, register, clients and the decision module of every gateway in one process.
+//!
+//! Sockets are left out, and with them all that the program round the module does; what is found here is found about
+//! decisions. Sizes that no machine holds are played in seconds, and two runs of a seed are the same to the byte.
+
+use crate::client::{next_try, patience, Seen};
+use crate::draws::{Draws, For};
+use crate::fleet::{carry_out, kinds, ledger, nodes};
+use crate::ledger::{Ask, AttemptSeen, Ended, Got, Ledger, Rules, Told};
+use crate::model::{Answer, Node, Output, State, Work};
+use crate::plan::{attempt_seconds, plan, Asked};
+use crate::register::{deeds, Call, Deed, Entry, List, Register, Status};
+use crate::report::{service, tallies, Counts, Report, Runner, Sample};
+use crate::script::Script;
+use ottervane::wire::parse_settings;
+use ottervane::{Action, Balancer, Effect, Event, HostId, HostState, Outcome, Request, RequestId, Settings};
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+use std::time::{Duration, Instant};
+
+/// A gateway's clock starts so long before the day, so that what started before it has a time.
+const BEFORE: Duration = Duration::from_secs(86_400);
+/// The gateway answers so long before its client gives up.
+const AHEAD: Duration = Duration::from_millis(15);
+/// A timer comes no sooner: the program's have this grain, and a module that asks for one at once must see time pass.
+const TICK: Duration = Duration::from_millis(1);
+
+/// Why a script can't be played.
+#[derive(Debug, thiserror::Error)]
+pub enum SimulateError {
+    /// The decision module does not take the settings that the script makes.
+    #[error("the decision module does not take the script's settings: {0}")]
+    Settings(#[from] serde_json::Error),
+}
+
+/// What the decisions took of this machine; no part of the report, for it differs from run to run.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cost {
+    /// Time inside the decision module, all gateways together.
+    pub deciding: Duration,
+    /// Requests decided.
+    pub requests: u64,
+}
+
+impl Cost {
+    /// The mean for a request with all its outcomes and timers.
+    pub fn per_request(&self) -> Duration {
+        self.deciding / self.requests.max(1) as u32
+    }
+}
+
+/// Which way a message goes; part of what its draw belongs to.
+#[derive(Clone, Copy, Debug)]
+enum Hop {
+    ToGateway = 1,
+    ToClient = 2,
+    Dial = 3,
+    Dialled = 4,
+    ToNode = 5,
+    FromNode = 6,
+    Leave = 7,
+}
+
+#[derive(Debug)]
+enum Happening {
+    /// A client sends a try.
+    Ask { place: usize, tries: u32 },
+    /// It reaches its gateway.
+    Arrive { n: usize },
+    /// Its client has waited long enough.
+    GiveUp { n: usize },
+    /// The gateway's last moment for it.
+    Backstop { n: usize },
+    /// A timer of a gateway's module.
+    Timer { gateway: usize, token: u64 },
+    /// A dial reaches a node.
+    Dial { a: usize },
+    /// It has come up, or not.
+    Dialled { a: usize, up: bool },
+    /// A dial has taken too long.
+    DialTimeout { a: usize },
+    /// A request reaches a node.
+    Reach { a: usize },
+    /// A node does something by itself.
+    Node { node: usize, due: Duration },
+    /// A node's answer reaches the gateway, or the end of its connection does.
+    Reply { a: usize, outcome: Outcome },
+    /// An attempt's time is up.
+    AttemptTimeout { a: usize },
+    /// The end of a connection reaches its node.
+    Left { node: usize, connection: u64, attempt: Option<u64> },
+    /// The end of an idle connection reaches its gateway.
+    IdleEnded { gateway: usize, node: usize, connection: u64 },
+    /// An answer reaches its client.
+    Answer { n: usize, seen: Seen },
+    /// A call reaches the register.
+    RegisterCall { gateway: usize },
+    /// The register's word reaches a gateway.
+    RegisterSays { gateway: usize, list: Option<List> },
+    /// The register's list or its health has changed.
+    RegisterTurns,
+    /// The script does something to a node.
+    Deed { node: usize, deed: Deed },
+    /// The state is looked at.
+    Sample,
+}
+
+struct Due {
+    at: Duration,
+    order: u64,
+    what: Happening,
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Due) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+
+impl Eq for Due {}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Due) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Due {
+    /// The earliest is the greatest: the heap gives that first.
+    fn cmp(&self, other: &Due) -> Ordering {
+        (other.at, other.order).cmp(&(self.at, self.order))
+    }
+}
+
+struct Gateway {
+    balancer: Balancer,
+    zone: usize,
+    hosts: Vec<ottervane::Host>,
+    idle: Vec<Vec<(u64, Duration)>>,
+    version: u64,
+    watching: bool,
+}
+
+/// One try of a client.
+struct Try {
+    place: usize,
+    number: u64,
+    tries: u32,
+    gateway: usize,
+    until: Duration,
+    /// Nobody waits for it any more, at the client.
+    closed: bool,
+    /// The gateway has given its final answer.
+    answered: bool,
+    attempts: Vec<usize>,
+}
+
+struct Attempt {
+    n: usize,
+    in_try: u32,
+    node: usize,
+    connection: u64,
+    sent: Duration,
+    until: Duration,
+    written: bool,
+    over: bool,
+}
+
+struct World<'s> {
+    script: &'s Script,
+    draws: Draws,
+    now: Duration,
+    due: BinaryHeap<Due>,
+    order: u64,
+    day: Vec<Asked>,
+    firsts: Vec<Duration>,
+    tries_of: Vec<Vec<(u64, Duration)>>,
+    tries: Vec<Try>,
+    attempts: Vec<Attempt>,
+    /// Which gateway opened each connection.
+    openers: Vec<usize>,
+    kinds: Vec<usize>,
+    nodes: Vec<Node>,
+    node_due: Vec<Option<Duration>>,
+    gateways: Vec<Gateway>,
+    by_zone: Vec<Vec<usize>>,
+    register: Register,
+    ledger: Ledger,
+    counts: Counts,
+    timeline: Vec<Sample>,
+    sampled: Counts,
+    in_time: (u64, u64),
+    cost: Cost,
+    actions: Vec<Action>,
+}
+
+/// Plays a script with so many gateways, or with as many as it names.
+///
+/// # Errors
+/// Where the decision module does not take the settings that the script makes.
+pub fn simulate(
+    script: &Script,
+    seed: u64,
+    gateways: Option<usize>,
+) -> Result<(Report, Cost), SimulateError> {
+    let mut world = World::new(script, Draws::new(seed), gateways.unwrap_or(script.fleet.gateways))?;
+    let end = script.end();
+    while let Some(next) = world.due.pop() {
+        if next.at > end {
+            break;
+        }
+        world.now = next.at;
+        world.happen(next.what);
+    }
+    Ok(world.report(seed))
+}
+
+impl<'s> World<'s> {
+    fn new(script: &'s Script, draws: Draws, count: usize) -> Result<World<'s>, SimulateError> {
+        let day = plan(script, draws);
+        let mut gateways = Vec::with_capacity(count);
+        for g in 0..count {
+            let settings: Settings = parse_settings(&script.settings(g, count).to_string())?;
+            gateways.push(Gateway {
+                balancer: Balancer::new(settings, draws.number(For::Gateway, g as u64)),
+                zone: script.zone_of(g),
+                hosts: Vec::new(),
+                idle: vec![Vec::new(); script.fleet.nodes],
+                version: 0,
+                watching: false,
+            });
+        }
+        let mut by_zone = vec![Vec::new(); script.fleet.zones.len()];
+        (0..count).for_each(|g| by_zone[script.zone_of(g)].push(g));
+        let (nodes, places) = (nodes(script, draws), day.len());
+        let mut world = World {
+            script,
+            draws,
+            now: Duration::ZERO,
+            due: BinaryHeap::new(),
+            order: 0,
+            firsts: vec![Duration::ZERO; places],
+            tries_of: vec![Vec::new(); places],
+            day,
+            tries: Vec::new(),
+            attempts: Vec::new(),
+            openers: Vec::new(),
+            kinds: kinds(script),
+            node_due: vec![None; nodes.len()],
+            nodes,
+            gateways,
+            by_zone,
+            register: Register::new(script, draws),
+            ledger: ledger(script),
+            counts: Counts::default(),
+            timeline: Vec::new(),
+            sampled: Counts::default(),
+            in_time: (0, 0),
+            cost: Cost::default(),
+            actions: Vec::new(),
+        };
+        for g in 0..count {
+            let list = world.register.since(Duration::ZERO, 0);
+            world.tell(g, list);
+        }
+        for place in 0..places {
+            let at = world.day[place].at;
+            world.at(at, Happening::Ask { place, tries: 0 });
+        }
+        for (at, node, deed) in deeds(script, draws) {
+            world.at(at, Happening::Deed { node, deed });
+        }
+        (0..world.nodes.len()).for_each(|n| world.watch_node(n));
+        world.await_register();
+        world.at(Duration::ZERO, Happening::Sample);
+        Ok(world)
+    }
+
+    fn at(&mut self, at: Duration, what: Happening) {
+        self.order += 1;
+        self.due.push(Due { at: at.max(self.now), order: self.order, what });
+    }
+
+    /// The way of a message: its draw belongs to what it is about.
+    fn way(&self, base: Duration, whose: u64, hop: Hop) -> Duration {
+        let mut stream = self.draws.stream_of_two(For::Network, whose, hop as u64);
+        let jitter = (1.0 + self.script.network.jitter * stream.normal()).clamp(0.3, 4.0);
+        base.mul_f64(jitter)
+    }
+
+    fn client_way(&self, n: usize, hop: Hop) -> Duration {
+        self.way(self.script.network.client, self.tries[n].number, hop)
+    }
+
+    fn node_way(&self, a: usize, hop: Hop) -> Duration {
+        let attempt = &self.attempts[a];
+        let gateway = &self.gateways[self.tries[attempt.n].gateway];
+        let network = &self.script.network;
+        let base =
+            if gateway.zone == self.script.zone_of(attempt.node) { network.same } else { network.cross };
+        self.way(base, self.tries[attempt.n].number.wrapping_add(u64::from(attempt.in_try)), hop)
+    }
+
+    fn happen(&mut self, what: Happening) {
+        match what {
+            Happening::Ask { place, tries } => self.ask(place, tries),
+            Happening::Arrive { n } => self.arrive(n),
+            Happening::GiveUp { n } => self.give_up(n),
+            Happening::Backstop { n } => {
+                if !self.tries[n].answered {
+                    self.answer(n, Seen::Failed);
+                    self.decide(self.tries[n].gateway, Event::Abandoned { request: id(n) });
+                }
+            }
+            Happening::Timer { gateway, token } => self.decide(gateway, Event::Timer { token }),
+            Happening::Dial { a } => self.dial(a),
+            Happening::Dialled { a, up } => self.dialled(a, up),
+            Happening::DialTimeout { a } => {
+                let attempt = &self.attempts[a];
+                if !attempt.over && !attempt.written {
+                    self.leave(a);
+                    self.end_attempt(a, Outcome::NoConnection);
+                }
+            }
+            Happening::Reach { a } => self.reach(a),
+            Happening::Node { node, due } => {
+                if self.node_due[node] == Some(due) {
+                    self.node_due[node] = None;
+                    self.nodes[node].advance(self.now);
+                    self.hear(node);
+                }
+            }
+            Happening::Reply { a, outcome } => self.reply(a, outcome),
+            Happening::AttemptTimeout { a } => {
+                if !self.attempts[a].over {
+                    let outcome =
+                        if self.attempts[a].written { Outcome::TimedOut } else { Outcome::NoConnection };
+                    self.leave(a);
+                    self.end_attempt(a, outcome);
+                }
+            }
+            Happening::Left { node, connection, attempt } => {
+                if let Some(attempt) = attempt {
+                    self.ledger.ended(attempt, self.now, Ended::Left);
+                }
+                self.nodes[node].disconnect(self.now, connection);
+                self.hear(node);
+            }
+            Happening::IdleEnded { gateway, node, connection } => {
+                self.gateways[gateway].idle[node].retain(|(c, _)| *c != connection);
+            }
+            Happening::Answer { n, seen } => self.take_answer(n, seen),
+            Happening::RegisterCall { gateway } => {
+                let way = self.script.network.same;
+                match self.register.call(self.now) {
+                    Call::Answered(at) => {
+                        let list = self.register.since(at, self.gateways[gateway].version);
+                        self.at(at + way, Happening::RegisterSays { gateway, list: Some(list) });
+                    }
+                    Call::Failed(at) => self.at(at + way, Happening::RegisterSays { gateway, list: None }),
+                }
+            }
+            Happening::RegisterSays { gateway, list } => match list {
+                Some(list) => {
+                    self.gateways[gateway].watching = true;
+                    self.tell(gateway, list);
+                }
+                None => {
+                    self.gateways[gateway].watching = false;
+                    self.decide(gateway, Event::DiscoveryFailed);
+                }
+            },
+            Happening::RegisterTurns => self.register_turns(),
+            Happening::Deed { node, deed } => {
+                carry_out(&mut self.nodes[node], self.now, deed);
+                if deed == Deed::Start && self.nodes[node].state() == State::Up {
+                    self.ledger.started(node, self.now);
+                }
+                self.hear(node);
+            }
+            Happening::Sample => self.sample(),
+        }
+    }
+
+    // ---- clients -------------------------------------------------------------------------------------------
+
+    fn ask(&mut self, place: usize, tries: u32) {
+        let asked = &self.day[place];
+        if tries == 0 {
+            self.firsts[place] = self.now;
+            self.counts.asked += 1;
+        }
+        self.counts.tries += 1;
+        let number = asked.number(self.draws, tries);
+        self.tries_of[place].push((number, self.now));
+        let until = self.now + patience(self.script, asked, self.firsts[place], self.now);
+        let class = asked.class;
+        // A front deals the requests of a zone to its gateways; where a zone has none, to all.
+        let own = &self.by_zone[asked.zone];
+        let place_in = ottervane::mix(number) as usize;
+        let gateway = match own.len() {
+            0 => place_in % self.gateways.len(),
+            some => own[place_in % some],
+        };
+        self.ledger.asked(number, Ask { gateway, class, at: self.now, until });
+        let n = self.tries.len();
+        let (closed, answered, attempts) = Default::default();
+        self.tries.push(Try { place, number, tries, gateway, until, closed, answered, attempts });
+        let way = self.client_way(n, Hop::ToGateway);
+        self.at(self.now + way, Happening::Arrive { n });
+        self.at(until, Happening::GiveUp { n });
+    }
+
+    fn give_up(&mut self, n: usize) {
+        if self.tries[n].closed {
+            return;
+        }
+        self.ledger.gave_up(self.tries[n].number, self.now);
+        self.close(n, Seen::Failed);
+        if !self.tries[n].answered {
+            self.tries[n].answered = true;
+            self.decide(self.tries[n].gateway, Event::Abandoned { request: id(n) });
+        }
+    }
+
+    fn take_answer(&mut self, n: usize, seen: Seen) {
+        let number = self.tries[n].number;
+        let got = match seen {
+            Seen::Served => Got::Served,
+            Seen::Refused { .. } => Got::Refused,
+            Seen::Failed | Seen::Unreachable => Got::Failed,
+        };
+        self.ledger.got(number, self.now, got);
+        if !self.tries[n].closed {
+            self.close(n, seen);
+        }
+    }
+
+    fn close(&mut self, n: usize, seen: Seen) {
+        self.tries[n].closed = true;
+        let (place, tries) = (self.tries[n].place, self.tries[n].tries + 1);
+        let (asked, first) = (&self.day[place], self.firsts[place]);
+        match seen {
+            Seen::Served => {
+                self.counts.served += 1;
+                let aim = first + self.script.classes[asked.class].aim;
+                self.in_time.0 += u64::from(self.now <= aim);
+            }
+            Seen::Refused { .. } => self.counts.refused += 1,
+            Seen::Failed => self.counts.failed += 1,
+            Seen::Unreachable => self.counts.unreachable += 1,
+        }
+        if let Some(at) = next_try(self.script, asked, first, tries, seen, self.now) {
+            self.at(at, Happening::Ask { place, tries });
+        }
+    }
+
+    // ---- gateways ------------------------------------------------------------------------------------------
+
+    fn arrive(&mut self, n: usize) {
+        let Try { place, tries, gateway, until, .. } = self.tries[n];
+        let asked = &self.day[place];
+        let give_up = until.saturating_sub(AHEAD);
+        let request = Request {
+            id: id(n),
+            class: asked.class,
+            tenant: asked.tenant,
+            key: asked.subject.map(ottervane::mix),
+            cost_hint: None,
+            repeat: tries > 0,
+            give_up_at: BEFORE + give_up,
+        };
+        self.cost.requests += 1;
+        self.at(give_up, Happening::Backstop { n });
+        self.decide(gateway, Event::Request(request));
+    }
+
+    fn decide(&mut self, gateway: usize, event: Event<'_>) {
+        let mut actions = std::mem::take(&mut self.actions);
+        let began = Instant::now();
+        self.gateways[gateway].balancer.handle(BEFORE + self.now, event, &mut actions);
+        self.cost.deciding += began.elapsed();
+        for action in actions.drain(..) {
+            self.act(gateway, action);
+        }
+        if self.actions.capacity() < actions.capacity() {
+            self.actions = actions;
+        }
+    }
+
+    fn act(&mut self, gateway: usize, action: Action) {
+        match action {
+            Action::Send { request, host, until } => {
+                self.send(gateway, place_of(request), host, until.saturating_sub(BEFORE));
+            }
+            Action::Cancel { request, attempt } => {
+                let n = place_of(request);
+                let found = self.tries.get(n).and_then(|t| t.attempts.get(attempt as usize)).copied();
+                if let Some(a) = found.filter(|a| !self.attempts[*a].over) {
+                    self.leave(a);
+                    self.end_attempt(a, Outcome::Cancelled);
+                }
+            }
+            Action::Refuse { request, keep_away } => {
+                let come_back = Some(keep_away).filter(|t| !t.is_zero());
+                self.answer(place_of(request), Seen::Refused { come_back });
+            }
+            Action::Fail { request } => self.answer(place_of(request), Seen::Failed),
+            Action::Wake { after, token } => {
+                self.at(self.now + after.max(TICK), Happening::Timer { gateway, token });
+            }
+            Action::Probe { host } => {
+                let (outcome, latency) = (Outcome::NotSent, Duration::ZERO);
+                self.decide(gateway, Event::Probed { host, outcome, latency });
+            }
+            Action::Close { host } => {
+                let node = host.0 as usize;
+                let idle = std::mem::take(&mut self.gateways[gateway].idle[node]);
+                for (connection, _) in idle {
+                    self.at(self.now, Happening::Left { node, connection, attempt: None });
+                }
+            }
+            Action::Subscribe => {
+                self.gateways[gateway].watching = false;
+                let at = self.now + self.script.network.same;
+                self.at(at, Happening::RegisterCall { gateway });
+            }
+        }
+    }
+
+    /// The gateway's final answer leaves for the client. Only the first one does.
+    fn answer(&mut self, n: usize, seen: Seen) {
+        if !std::mem::replace(&mut self.tries[n].answered, true) {
+            let way = self.client_way(n, Hop::ToClient);
+            self.at(self.now + way, Happening::Answer { n, seen });
+        }
+    }
+
+    fn send(&mut self, gateway: usize, n: usize, host: HostId, until: Duration) {
+        let node = host.0 as usize;
+        let until = until.min(self.tries[n].until.saturating_sub(AHEAD));
+        let a = self.attempts.len();
+        let in_try = self.tries[n].attempts.len() as u32;
+        self.tries[n].attempts.push(a);
+        // As the program does it: the one used last, and none that its node may be about to close.
+        let fresh = self.script.fleet.kinds.iter().map(|k| k.spec.keep_alive).min().unwrap_or_default() / 2;
+        let idle = &mut self.gateways[gateway].idle[node];
+        let reused = loop {
+            match idle.pop() {
+                Some((connection, since)) if self.now - since < fresh => break Some(connection),
+                Some(_) => {}
+                None => break None,
+            }
+        };
+        let connection = reused.unwrap_or_else(|| {
+            self.openers.push(gateway);
+            self.openers.len() as u64 - 1
+        });
+        let (sent, written, over) = (self.now, reused.is_some(), false);
+        self.attempts.push(Attempt { n, in_try, node, connection, sent, until, written, over });
+        self.at(until, Happening::AttemptTimeout { a });
+        if written {
+            let way = self.node_way(a, Hop::ToNode);
+            self.at(self.now + way, Happening::Reach { a });
+        } else {
+            self.counts.connections += 1;
+            let way = self.node_way(a, Hop::Dial);
+            self.at(self.now + way, Happening::Dial { a });
+            self.at(self.now + self.script.limits.dial, Happening::DialTimeout { a });
+        }
+    }
+
+    fn dial(&mut self, a: usize) {
+        let Attempt { node, connection, .. } = self.attempts[a];
+        if self.nodes[node].state() == State::Silent {
+            return;
+        }
+        let up = self.nodes[node].connect(self.now, connection);
+        self.hear(node);
+        let way = self.node_way(a, Hop::Dialled);
+        self.at(self.now + way, Happening::Dialled { a, up });
+    }
+
+    fn dialled(&mut self, a: usize, up: bool) {
+        let Attempt { n, node, connection, over, .. } = self.attempts[a];
+        let gateway = self.tries[n].gateway;
+        if over {
+            if up {
+                self.at(self.now, Happening::Left { node, connection, attempt: None });
+            }
+            return;
+        }
+        if !up {
+            return self.end_attempt(a, Outcome::NoConnection);
+        }
+        // The request may have been answered, and the node begun to drain, while the connection came up.
+        let takes_work =
+            self.gateways[gateway].hosts.iter().any(|h| h.id.0 as usize == node && h.state == HostState::Up);
+        if self.tries[n].answered || !takes_work {
+            self.gateways[gateway].idle[node].push((connection, self.now));
+            return self.end_attempt(a, Outcome::NotSent);
+        }
+        self.attempts[a].written = true;
+        let way = self.node_way(a, Hop::ToNode);
+        self.at(self.now + way, Happening::Reach { a });
+    }
+
+    fn reach(&mut self, a: usize) {
+        let Attempt { n, node, connection, until, .. } = self.attempts[a];
+        if self.nodes[node].state() == State::Silent || self.attempts[a].over {
+            return;
+        }
+        let Try { number, place, gateway, .. } = self.tries[n];
+        let asked = &self.day[place];
+        let class = &self.script.classes[asked.class];
+        let seconds = attempt_seconds(self.draws, class, asked, node as u64);
+        let keyed = match class.effect {
+            Effect::Keyed { group, window } => Some((asked.key, group, window)),
+            _ => None,
+        };
+        let (attempt, whole) = (a as u64, Some(self.now));
+        let (first, began, ended) = (self.now, None, None);
+        self.ledger
+            .attempt(number, AttemptSeen { attempt, node, gateway, first, whole, began, ended, seconds });
+        self.counts.attempts += 1;
+        let work = Work { request: number, seconds, subject: asked.subject, keyed, until };
+        let there = matches!(self.nodes[node].state(), State::Up | State::Draining);
+        self.nodes[node].request(self.now, connection, attempt, work);
+        self.hear(node);
+        if !there {
+            self.ledger.ended(attempt, self.now, Ended::Broken);
+            let way = self.node_way(a, Hop::FromNode);
+            self.at(self.now + way, Happening::Reply { a, outcome: Outcome::Reset });
+        }
+    }
+
+    fn reply(&mut self, a: usize, outcome: Outcome) {
+        let Attempt { n, node, connection, over, .. } = self.attempts[a];
+        if over {
+            return;
+        }
+        if outcome != Outcome::Reset {
+            self.gateways[self.tries[n].gateway].idle[node].push((connection, self.now));
+        }
+        if outcome == Outcome::Served {
+            self.answer(n, Seen::Served);
+        }
+        self.end_attempt(a, outcome);
+    }
+
+    /// The gateway ends the attempt's connection.
+    fn leave(&mut self, a: usize) {
+        let Attempt { node, connection, written, .. } = self.attempts[a];
+        let way = self.node_way(a, Hop::Leave);
+        let attempt = written.then_some(a as u64);
+        self.at(self.now + way, Happening::Left { node, connection, attempt });
+    }
+
+    fn end_attempt(&mut self, a: usize, outcome: Outcome) {
+        let Attempt { n, in_try, sent, .. } = self.attempts[a];
+        self.attempts[a].over = true;
+        let (latency, over) = (self.now - sent, self.tries[n].answered);
+        let event = Event::Outcome { request: id(n), attempt: in_try, latency, outcome, over };
+        self.decide(self.tries[n].gateway, event);
+    }
+
+    // ---- nodes ---------------------------------------------------------------------------------------------
+
+    /// Takes what a node has to say, and asks when it speaks next.
+    fn hear(&mut self, node: usize) {
+        let outputs: Vec<Output> = self.nodes[node].outputs().collect();
+        for output in outputs {
+            match output {
+                Output::Began { attempt } => self.ledger.began(attempt, self.now),
+                Output::Answered { attempt, answer, .. } => {
+                    let (ended, outcome) = match answer {
+                        Answer::Served { dropped } => {
+                            self.counts.repeats_dropped += u64::from(dropped);
+                            (Ended::Served, Outcome::Served)
+                        }
+                        Answer::Error => (Ended::Error, Outcome::Error),
+                        Answer::TurnedAway(_) => (Ended::TurnedAway, Outcome::Rejected),
+                    };
+                    self.ledger.ended(attempt, self.now, ended);
+                    let a = attempt as usize;
+                    let way = self.node_way(a, Hop::FromNode);
+                    self.at(self.now + way, Happening::Reply { a, outcome });
+                }
+                Output::Ended { attempt: Some(attempt), .. } => {
+                    self.ledger.ended(attempt, self.now, Ended::Broken);
+                    let a = attempt as usize;
+                    let way = self.node_way(a, Hop::FromNode);
+                    self.at(self.now + way, Happening::Reply { a, outcome: Outcome::Reset });
+                }
+                Output::Ended { connection, attempt: None } => {
+                    let at = self.now + self.script.network.same;
+                    let gateway = self.openers[connection as usize];
+                    self.at(at, Happening::IdleEnded { gateway, node, connection });
+                }
+                Output::FellOver => {
+                    self.counts.fallen += 1;
+                    self.ledger.fell(node, self.now);
+                    self.register.fell(node, self.now);
+                    self.await_register();
+                }
+            }
+        }
+        self.watch_node(node);
+    }
+
+    fn watch_node(&mut self, node: usize) {
+        let next = self.nodes[node].next();
+        if let Some(due) = next.filter(|_| self.node_due[node] != next) {
+            self.at(due, Happening::Node { node, due });
+        }
+        self.node_due[node] = next;
+    }
+
+    // ---- the register --------------------------------------------------------------------------------------
+
+    fn await_register(&mut self) {
+        let (change, turn) = (self.register.next_change(self.now), self.register.next_turn(self.now));
+        if let Some(at) = change.into_iter().chain(turn).min() {
+            self.at(at, Happening::RegisterTurns);
+        }
+    }
+
+    fn register_turns(&mut self) {
+        let (down, way) = (self.register.is_down(self.now), self.script.network.same);
+        for gateway in 0..self.gateways.len() {
+            if !self.gateways[gateway].watching {
+                continue;
+            }
+            if down {
+                self.at(self.now + way, Happening::RegisterSays { gateway, list: None });
+                continue;
+            }
+            let list = self.register.since(self.now, self.gateways[gateway].version);
+            if list.whole || !list.entries.is_empty() {
+                self.at(self.now + way, Happening::RegisterSays { gateway, list: Some(list) });
+            }
+        }
+        self.await_register();
+    }
+
+    /// A gateway hears a list.
+    fn tell(&mut self, gateway: usize, list: List) {
+        let g = &mut self.gateways[gateway];
+        if list.version < g.version {
+            return; // an older word, overtaken on its way
+        }
+        g.version = list.version;
+        let hosts: Vec<ottervane::Host> =
+            list.entries.iter().map(|e| host(self.script, &self.kinds, e)).collect();
+        if list.whole {
+            for known in &mut g.hosts {
+                if !hosts.iter().any(|h| h.id == known.id) {
+                    known.state = HostState::Removed;
+                    self.ledger.told(gateway, known.id.0 as usize, self.now, Told::Gone);
+                }
+            }
+        }
+        for (host, entry) in hosts.iter().zip(&list.entries) {
+            match g.hosts.iter_mut().find(|h| h.id == host.id) {
+                Some(known) => *known = host.clone(),
+                None => g.hosts.push(host.clone()),
+            }
+            let told = match entry.status {
+                Status::Active => Told::Up(entry.started),
+                Status::Leaving => Told::Draining,
+                Status::Left => Told::Gone,
+            };
+            self.ledger.told(gateway, entry.node, self.now, told);
+        }
+        self.decide(gateway, Event::Hosts { full: list.whole, hosts: &hosts });
+    }
+
+    // ---- what it has shown ---------------------------------------------------------------------------------
+
+    fn sample(&mut self) {
+        let step = (self.script.lasts / 240).max(Duration::from_millis(100));
+        let (now, before, per) = (self.counts, self.sampled, step.as_secs_f64());
+        let rate = |now: u64, before: u64| ((now - before) as f64 / per * 10.0).round() / 10.0;
+        let mut sample = Sample {
+            at_s: (self.now.as_secs_f64() * 1000.0).round() / 1000.0,
+            asked: rate(now.tries, before.tries),
+            in_time: rate(self.in_time.0, self.in_time.1),
+            refused: rate(now.refused, before.refused),
+            failed: rate(now.failed, before.failed),
+            ..Sample::default()
+        };
+        self.nodes.iter().for_each(|node| sample.see(node));
+        self.timeline.push(sample);
+        (self.sampled, self.in_time.1) = (now, self.in_time.0);
+        if self.now + step <= self.script.end() {
+            self.at(self.now + step, Happening::Sample);
+        }
+    }
+
+    fn report(self, seed: u64) -> (Report, Cost) {
+        let tallies = tallies(self.script, &self.day, &self.ledger, &self.tries_of);
+        let report = Report {
+            script: self.script.name.clone(),
+            seed,
+            runner: Runner::VirtualTime,
+            gateways: self.gateways.len(),
+            nodes: self.nodes.len(),
+            service: Some(service(self.script, &tallies)),
+            breaches: self.ledger.breaches(Rules::virtual_time()),
+            unsound: None,
+            counts: self.counts,
+            lateness: None,
+            timeline: self.timeline,
+        };
+        (report, self.cost)
+    }
+}
+
+impl Sample {
+    /// Counts a node in.
+    pub fn see(&mut self, node: &Node) {
+        self.held += node.held();
+        match node.state() {
+            State::Up if node.choked() => self.choked += 1,
+            State::Up if node.warmth() < 1.0 => self.cold += 1,
+            State::Up => self.warm += 1,
+            State::Draining => self.draining += 1,
+            State::Down | State::Silent | State::Fallen => self.down += 1,
+        }
+    }
+}
+
+/// The module's number of a try; never 0.
+fn id(n: usize) -> RequestId {
+    RequestId(n as u64 + 1)
+}
+
+fn place_of(request: RequestId) -> usize {
+    request.0 as usize - 1
+}
+
+/// An entry in the module's terms.
+fn host(script: &Script, kinds: &[usize], entry: &Entry) -> ottervane::Host {
+    let state = match entry.status {
+        Status::Active => HostState::Up,
+        Status::Leaving => HostState::Draining,
+        Status::Left => HostState::Removed,
+    };
+    ottervane::Host {
+        state,
+        zone: script.zone_of(entry.node) as u32,
+        cell: script.rack_of(entry.node) as u32,
+        started: entry.started.map(|at| BEFORE + at),
+        kind: kinds[entry.node] as u32,
+        ..ottervane::Host::new(HostId(entry.node as u32), &script.node_name(entry.node))
+    }
+}
--- /dev/null
+++ b/crates/rig/tests/ledger.rs
@@ -0,0 +1,217 @@
+//! The ledger alone: each rule at its edge, event by event.
+
+use ottervane::{Effect, Group};
+use ottervane_rig::ledger::{
+    Ask, AttemptSeen, ClassTerms, Ended, Got, Ledger, Rule, Rules, Service, Tally, Told,
+};
+use std::time::Duration;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+const SAFE: usize = 0;
+const RACK: usize = 1;
+const UNSAFE: usize = 2;
+const ALL: usize = 3;
+
+/// Nodes 0 and 1 share a rack, node 2 has one of its own.
+fn ledger() -> Ledger {
+    let keyed = |group| Effect::Keyed { group, window: ms(1000) };
+    let terms = [Effect::Safe, keyed(Group::Cell), Effect::Unsafe, keyed(Group::All)];
+    let terms = terms.map(|effect| ClassTerms { aim: ms(300), effect }).to_vec();
+    Ledger::new(terms, vec![(0, 0), (0, 0), (1, 1)])
+}
+
+fn ask(ledger: &mut Ledger, class: usize) {
+    ledger.asked(1, Ask { gateway: 0, class, at: ms(0), until: ms(1000) });
+}
+
+/// An attempt at a node from then until then.
+fn attempt(ledger: &mut Ledger, n: u64, node: usize, from: u64, until: u64, how: Ended) {
+    let (whole, began, ended) = (Some(ms(from)), None, None);
+    let (first, seconds, gateway) = (ms(from), 0.01, 0);
+    ledger.attempt(1, AttemptSeen { attempt: n, node, gateway, first, whole, began, ended, seconds });
+    ledger.ended(n, ms(until), how);
+}
+
+fn found(ledger: &Ledger) -> Vec<Rule> {
+    ledger.breaches(Rules::virtual_time()).into_iter().map(|b| b.rule).collect()
+}
+
+#[test]
+fn one_answer_in_time() {
+    let cases: [(&[(u64, Got)], &[Rule]); 6] = [
+        (&[(200, Got::Served)], &[]),
+        (&[(1009, Got::Served)], &[]),
+        (&[(1011, Got::Served)], &[Rule::Unanswered]),
+        (&[], &[Rule::Unanswered]),
+        (&[(200, Got::Served), (300, Got::Failed)], &[Rule::AnsweredTwice]),
+        (&[(200, Got::Foreign)], &[Rule::ForeignAnswer]),
+    ];
+    for (answers, rules) in cases {
+        let mut ledger = ledger();
+        ask(&mut ledger, SAFE);
+        attempt(&mut ledger, 1, 0, 10, 190, Ended::Served);
+        answers.iter().for_each(|(at, got)| ledger.got(1, ms(*at), *got));
+        assert_eq!(found(&ledger), rules, "{answers:?}");
+    }
+}
+
+#[test]
+fn who_leaves_early_is_owed_nothing() {
+    for (left, rules) in [(500, vec![]), (1000, vec![Rule::Unanswered])] {
+        let mut ledger = ledger();
+        ask(&mut ledger, SAFE);
+        ledger.gave_up(1, ms(left));
+        assert_eq!(found(&ledger), rules);
+    }
+}
+
+#[test]
+fn one_attempt_out_at_a_time() {
+    for (second, rules) in [(100, vec![]), (89, vec![Rule::TwoCopies])] {
+        let mut ledger = ledger();
+        ask(&mut ledger, SAFE);
+        attempt(&mut ledger, 1, 0, 10, 100, Ended::Left);
+        attempt(&mut ledger, 2, 1, second, 200, Ended::Served);
+        ledger.got(1, ms(201), Got::Served);
+        assert_eq!(found(&ledger), rules, "the second one at {second}");
+    }
+}
+
+#[test]
+fn sent_again_only_as_the_class_allows() {
+    let cases = [
+        (SAFE, Ended::Error, 2, 2000, true),
+        (UNSAFE, Ended::Error, 0, 200, false),
+        (UNSAFE, Ended::TurnedAway, 0, 200, true),
+        (UNSAFE, Ended::Unsent, 0, 200, true),
+        (RACK, Ended::Left, 1, 200, true),
+        (RACK, Ended::Left, 2, 200, false),
+        (RACK, Ended::TurnedAway, 2, 200, true),
+        (RACK, Ended::Left, 1, 1021, false),
+        (ALL, Ended::Left, 2, 200, true),
+        (ALL, Ended::Left, 2, 1021, false),
+    ];
+    for (class, how, node, again, allowed) in cases {
+        let mut ledger = ledger();
+        ledger.asked(1, Ask { gateway: 0, class, at: ms(0), until: ms(5000) });
+        attempt(&mut ledger, 1, 0, 10, 100, how);
+        attempt(&mut ledger, 2, node, again, again + 50, Ended::Served);
+        ledger.got(1, ms(again + 51), Got::Served);
+        let rules = if allowed { vec![] } else { vec![Rule::ResentAgainstClass] };
+        assert_eq!(found(&ledger), rules, "class {class}, {how:?}, then node {node} at {again}");
+    }
+}
+
+#[test]
+fn nothing_is_sent_after_the_answer_and_nothing_held_back() {
+    let mut sent = ledger();
+    ask(&mut sent, SAFE);
+    sent.got(1, ms(50), Got::Refused);
+    attempt(&mut sent, 1, 0, 70, 100, Ended::Served);
+    assert_eq!(found(&sent), [Rule::SentAfterAnswer]);
+    // Up to its aim a request may wait, and as long as an attempt is out.
+    for (last, at, rules) in [
+        (0, 340, vec![]),
+        (0, 341, vec![Rule::HeldBack]),
+        (600, 640, vec![]),
+        (600, 641, vec![Rule::HeldBack]),
+    ] {
+        let mut held = ledger();
+        ask(&mut held, SAFE);
+        if last > 0 {
+            attempt(&mut held, 1, 0, 10, last, Ended::Error);
+        }
+        held.got(1, ms(at), Got::Refused);
+        assert_eq!(found(&held), rules, "refused at {at}");
+    }
+}
+
+#[test]
+fn a_refusal_promises_that_it_has_not_run() {
+    for (class, how, rules) in [
+        (SAFE, Ended::Error, vec![]),
+        (ALL, Ended::Error, vec![]),
+        (RACK, Ended::Error, vec![Rule::RefusedAfterRun]),
+        (UNSAFE, Ended::Broken, vec![Rule::RefusedAfterRun]),
+        (UNSAFE, Ended::TurnedAway, vec![]),
+    ] {
+        let mut ledger = ledger();
+        ask(&mut ledger, class);
+        attempt(&mut ledger, 1, 0, 10, 50, how);
+        ledger.got(1, ms(60), Got::Refused);
+        assert_eq!(found(&ledger), rules, "class {class}, {how:?}");
+    }
+}
+
+#[test]
+fn nothing_new_two_seconds_after_a_word() {
+    for (told, at, rules) in [
+        (Told::Draining, 3010, vec![]),
+        (Told::Draining, 3011, vec![Rule::SentToDrained]),
+        (Told::Gone, 3011, vec![Rule::SentToDrained]),
+        (Told::Up(None), 3011, vec![]),
+    ] {
+        let mut ledger = ledger();
+        ledger.told(0, 0, ms(1000), told);
+        ledger.told(1, 0, ms(0), Told::Gone); // another gateway's word binds that one alone
+        ledger.asked(1, Ask { gateway: 0, class: SAFE, at: ms(at), until: ms(at + 1000) });
+        attempt(&mut ledger, 1, 0, at, at + 10, Ended::Served);
+        ledger.got(1, ms(at + 11), Got::Served);
+        assert_eq!(found(&ledger), rules, "{told:?}, at {at}");
+    }
+    // That it is gone does not begin the grace anew where it was draining; that it is up again ends it.
+    let mut ledger = ledger();
+    ledger.told(0, 0, ms(1000), Told::Draining);
+    ledger.told(0, 0, ms(2500), Told::Gone);
+    ledger.asked(1, Ask { gateway: 0, class: SAFE, at: ms(3500), until: ms(4500) });
+    attempt(&mut ledger, 1, 0, 3500, 3510, Ended::Served);
+    ledger.got(1, ms(3511), Got::Served);
+    assert_eq!(found(&ledger), [Rule::SentToDrained]);
+}
+
+#[test]
+fn a_fall_is_a_breach_where_those_who_sent_it_knew() {
+    for (knew, rules) in [(true, vec![Rule::PushedOver]), (false, vec![])] {
+        let mut ledger = ledger();
+        ledger.started(0, ms(1000));
+        if knew {
+            ledger.told(0, 0, ms(1500), Told::Up(Some(ms(1000))));
+        }
+        ledger.asked(1, Ask { gateway: 0, class: SAFE, at: ms(1990), until: ms(3000) });
+        attempt(&mut ledger, 1, 0, 2000, 2010, Ended::Broken);
+        ledger.got(1, ms(2011), Got::Refused);
+        ledger.fell(0, ms(2010));
+        assert_eq!(found(&ledger), rules, "knew: {knew}");
+    }
+}
+
+#[test]
+fn what_nobody_asked_is_told() {
+    let mut ledger = ledger();
+    attempt(&mut ledger, 1, 0, 10, 50, Ended::Error);
+    let breaches = ledger.breaches(Rules::virtual_time());
+    assert_eq!(breaches[0].rule, Rule::NobodyAsked);
+    assert_eq!(breaches[0].request.as_deref(), Some("0000000000000001"));
+    assert!(breaches[0].events[0].contains("node 0 sees attempt 1's first byte"), "{:?}", breaches[0]);
+}
+
+#[test]
+fn service_is_worth_in_time_over_worth_asked_for() {
+    let names = |n: usize| (0..n).map(|n| n.to_string()).collect::<Vec<_>>();
+    let tally = |second: u64, class, tenant, worth, in_share, in_time| {
+        let at = Duration::from_secs(second);
+        Tally { at, class, tenant, worth, in_share, in_time }
+    };
+    let mut tallies: Vec<Tally> = (0..30).map(|s| tally(s, 0, 0, 1.0, true, true)).collect();
+    tallies.extend((10..20).map(|s| tally(s, 1, 1, 2.0, true, false)));
+    tallies.push(tally(5, 0, 1, 10.0, false, true)); // beyond its share: no school is served the worse for it
+    let service = Service::count(&tallies, &names(2), &names(2));
+    assert!((service.whole - 40.0 / 60.0).abs() < 1e-12);
+    assert_eq!((service.worst_class.name.as_str(), service.worst_class.service), ("1", 0.0));
+    assert_eq!((service.worst_tenant.name.as_str(), service.worst_tenant.service), ("1", 0.0));
+    assert_eq!(service.worst_10s.name, "10 s to 20 s");
+    assert!((service.worst_10s.service - 10.0 / 30.0).abs() < 1e-12);
+}
--- /dev/null
+++ b/crates/rig/tests/model.rs
@@ -0,0 +1,496 @@
+//! The node model in virtual time: against queueing theory, and at the edges of what it promises.
+
+use ottervane::Group;
+use ottervane_rig::draws::{Draws, For};
+use ottervane_rig::model::{
+    Answer, Budget, ChokeSpec, Memories, Node, NodeSpec, Output, PauseSpec, Refusal, Repeats, State, WarmBy,
+    Work,
+};
+use proptest::prelude::*;
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+const NEVER: Duration = Duration::from_secs(1_000_000);
+
+fn work(request: u64, seconds: f64) -> Work {
+    Work { request, seconds, subject: None, keyed: None, until: NEVER }
+}
+
+fn node(spec: NodeSpec) -> Node {
+    Node::new(0, spec, Draws::new(7), Memories::default(), Duration::ZERO)
+}
+
+/// Lets time pass step by step and gives what comes out, each with its time.
+fn run_until(node: &mut Node, until: Duration) -> Vec<(Duration, Output)> {
+    let mut out = Vec::new();
+    while let Some(next) = node.next().filter(|next| *next <= until) {
+        node.advance(next);
+        out.extend(node.outputs().map(|o| (next, o)));
+    }
+    node.advance(until);
+    out.extend(node.outputs().map(|o| (until, o)));
+    out
+}
+
+/// The one answer to an attempt.
+fn answers(out: &[(Duration, Output)], of: u64) -> Vec<(Duration, Answer)> {
+    let answer = |(at, output): &(Duration, Output)| match output {
+        Output::Answered { attempt, answer, .. } if *attempt == of => Some((*at, *answer)),
+        _ => None,
+    };
+    out.iter().filter_map(answer).collect()
+}
+
+/// The mean wait of M/M/c by Erlang's formula, in mean service times.
+fn erlang_wait(servers: u32, load: f64) -> f64 {
+    let (c, a) = (f64::from(servers), f64::from(servers) * load);
+    let mut blocked = 1.0;
+    for n in 1..=servers {
+        blocked = a * blocked / (f64::from(n) + a * blocked);
+    }
+    let waits = blocked / (1.0 - load * (1.0 - blocked));
+    waits / (c * (1.0 - load))
+}
+
+/// With as many slots as cores and exponential work, the model is M/M/c.
+#[test]
+fn waits_as_long_as_theory_says() {
+    for (servers, load, requests) in [(2, 0.5, 200_000), (2, 0.8, 400_000), (4, 0.7, 300_000)] {
+        let queue = 1_000_000;
+        let mut node = node(NodeSpec { cores: servers, slots: servers, queue, ..NodeSpec::default() });
+        let mut draws = Draws::new(11).stream(For::Arrivals, u64::from(servers));
+        let (service, mut at) = (0.05, 0.0);
+        let (mut came, mut waited, mut began) = (HashMap::new(), 0.0, 0u32);
+        let mut book = |out: Vec<(Duration, Output)>, came: &mut HashMap<u64, Duration>| {
+            for (at, output) in out {
+                if let Output::Began { attempt } = output {
+                    let wait = at - came.remove(&attempt).expect("it came before it began");
+                    (waited, began) = (waited + wait.as_secs_f64(), began + 1);
+                }
+            }
+        };
+        for request in 0..requests {
+            at += draws.exponential() * service / (f64::from(servers) * load);
+            let now = Duration::from_secs_f64(at);
+            book(run_until(&mut node, now), &mut came);
+            assert!(node.connect(now, request));
+            came.insert(request, now);
+            node.request(now, request, request, work(request, service * draws.exponential()));
+            book(node.outputs().map(|o| (now, o)).collect(), &mut came);
+            // The model is asked about work, not about connections: they end with their answers.
+            let done = request.saturating_sub(500);
+            if request >= 500 && !came.contains_key(&done) {
+                node.disconnect(now, done);
+            }
+        }
+        let (mean, theory) = (waited / f64::from(began) / service, erlang_wait(servers, load));
+        let off = (mean / theory - 1.0).abs();
+        assert!(off < 0.05, "{servers} cores at {load}: {mean:.4} where theory has {theory:.4}");
+    }
+}
+
+#[test]
+fn a_budget_is_spent_at_its_edge_and_not_before() {
+    let mut budget = Budget::new(2.5, 2.0);
+    // A capacity of 1: five seconds of work within two.
+    for n in 0..50 {
+        assert!(!budget.overspent(f64::from(n) * 0.03, 0.1, 1.0), "after {n}");
+    }
+    assert!(budget.overspent(1.6, 0.001, 1.0));
+    // What has left the window counts no more.
+    let mut budget = Budget::new(2.5, 2.0);
+    for n in 0..1000 {
+        assert!(!budget.overspent(f64::from(n) * 0.1001, 0.2475, 1.0), "a steady 2.47 times, after {n}");
+    }
+    assert!(
+        (1..100).any(|n| budget.overspent(101.0 + f64::from(n) * 0.1001, 0.2525, 1.0)),
+        "a steady 2.52 times"
+    );
+}
+
+/// A cold node of one core that starts at a tenth and is warm after 10 s.
+fn cold() -> Node {
+    let spec = NodeSpec {
+        cores: 1,
+        slots: 100,
+        cold_from: 0.1,
+        cold_for: ms(10_000),
+        fall_at: 2.5,
+        fall_over: ms(2000),
+        ..NodeSpec::default()
+    };
+    let mut node = node(spec);
+    node.kill(ms(1000));
+    assert!(!node.connect(ms(1500), 1), "its process is gone");
+    node.start_cold(ms(2000));
+    node
+}
+
+#[test]
+fn a_cold_node_falls_over_once_it_is_sent_too_much_and_stays_down() {
+    // At the start it can do 0.1 a second: 0.5 s of work within 2 s is the edge.
+    for (each, falls) in [(0.049, false), (0.051, true)] {
+        let mut node = cold();
+        for n in 0..10 {
+            if node.connect(ms(2000), n) {
+                node.request(ms(2000), n, n, work(n, each));
+            }
+        }
+        let fell = node.outputs().any(|o| o == Output::FellOver);
+        assert_eq!((fell, node.state() == State::Fallen), (falls, falls), "ten times {each} s");
+        if falls {
+            node.start_cold(ms(60_000));
+            assert_eq!(node.state(), State::Fallen, "it stays down");
+            assert!(!node.connect(ms(60_001), 99));
+        }
+    }
+}
+
+#[test]
+fn a_warm_node_bears_what_fells_a_cold_one() {
+    let mut node = cold();
+    run_until(&mut node, ms(12_001));
+    assert!((node.warmth() - 1.0).abs() < 1e-9);
+    for n in 0..50 {
+        assert!(node.connect(ms(12_001), n));
+        node.request(ms(12_001), n, n, work(n, 1.0));
+    }
+    assert_eq!(node.state(), State::Up);
+}
+
+#[test]
+fn warms_evenly_with_time_or_sooner_with_work() {
+    let mut by_time = cold();
+    run_until(&mut by_time, ms(7000));
+    assert!((by_time.warmth() - 0.55).abs() < 1e-6, "{}", by_time.warmth());
+    let mut spec = NodeSpec { cold_from: 0.1, cold_for: ms(10_000), ..NodeSpec::default() };
+    spec.warm_by = WarmBy::Work;
+    let mut by_work = node(spec);
+    by_work.start_cold(Duration::ZERO);
+    for n in 0..4u64 {
+        let at = ms(1500 * n);
+        run_until(&mut by_work, at);
+        assert!(by_work.connect(at, n));
+        by_work.request(at, n, n, work(n, 0.4));
+    }
+    run_until(&mut by_work, ms(6000));
+    assert!(by_work.warmth() >= 0.1 + 0.9 * 0.6 - 1e-9, "never slower than time");
+    assert_eq!(by_work.state(), State::Up);
+}
+
+#[test]
+fn drops_a_repeat_within_the_window_and_only_inside_its_group() {
+    let window = ms(1200);
+    let mut memory = Repeats::default();
+    use ottervane_rig::model::Meeting::{Dropped, Runs};
+    assert_eq!(memory.meet(ms(1000), 5, window), Runs);
+    assert_eq!(memory.meet(ms(2200), 5, window), Dropped, "at its last moment");
+    // The window is that of the one that ran: the repeat has not drawn it out.
+    assert_eq!(memory.meet(ms(2201), 5, window), Runs, "just after it");
+    assert_eq!(memory.meet(ms(2202), 6, window), Runs, "another key");
+
+    // Two nodes of one rack, and a third of another.
+    let (rack, all) = (Memories::default(), Memories::default());
+    let other = Memories { all: rack.all.clone(), ..all };
+    let of = |memories: &Memories| Node::new(0, NodeSpec::default(), Draws::new(1), memories.clone(), ms(0));
+    let mut nodes = [of(&rack), of(&rack), of(&other)];
+    let mut ask = |n: usize, at: Duration, key: u64, group: Group| {
+        let (id, node) = (at.as_millis() as u64 + key * 1_000_000, &mut nodes[n]);
+        assert!(node.connect(at, id));
+        node.request(at, id, id, Work { keyed: Some((key, group, window)), ..work(id, 0.01) });
+        let out = run_until(node, at + ms(50));
+        answers(&out, id)[0].1 == Answer::Served { dropped: true }
+    };
+    assert!(!ask(0, ms(0), 1, Group::Cell), "the first one runs");
+    assert!(ask(1, ms(100), 1, Group::Cell), "its rack knows it");
+    assert!(!ask(2, ms(200), 1, Group::Cell), "another rack does not");
+    assert!(!ask(0, ms(300), 2, Group::All));
+    assert!(ask(2, ms(400), 2, Group::All), "all nodes know this one");
+}
+
+#[test]
+fn what_waits_and_is_cancelled_has_not_run() {
+    let mut node = node(NodeSpec { cores: 1, slots: 1, ..NodeSpec::default() });
+    for n in 0..2 {
+        assert!(node.connect(ms(0), n));
+        node.request(ms(0), n, n, Work { keyed: Some((9, Group::All, ms(1000))), ..work(n, 0.1) });
+    }
+    node.disconnect(ms(10), 1);
+    let out = run_until(&mut node, ms(500));
+    assert_eq!(answers(&out, 0), [(ms(100), Answer::Served { dropped: false })]);
+    assert!(answers(&out, 1).is_empty());
+    assert_eq!(node.held(), 0);
+}
+
+#[test]
+fn work_stops_when_it_is_cancelled_where_the_node_does_that() {
+    for (cancels, ends) in [(true, ms(100)), (false, ms(190))] {
+        let mut node = node(NodeSpec { cores: 1, slots: 4, cancels, ..NodeSpec::default() });
+        assert!(node.connect(ms(0), 1) && node.connect(ms(0), 2));
+        node.request(ms(0), 1, 1, work(1, 0.095));
+        node.request(ms(0), 2, 2, work(2, 0.095));
+        run_until(&mut node, ms(10));
+        node.disconnect(ms(10), 1);
+        let out = run_until(&mut node, ms(1000));
+        assert_eq!(answers(&out, 2)[0].0, ends, "cancels: {cancels}");
+    }
+}
+
+#[test]
+fn turns_away_what_it_has_no_place_for_and_what_is_over() {
+    let mut node = node(NodeSpec { cores: 1, slots: 1, queue: 1, ..NodeSpec::default() });
+    for n in 0..3 {
+        assert!(node.connect(ms(0), n));
+        let until = if n == 1 { ms(50) } else { NEVER };
+        node.request(ms(0), n, n, Work { until, ..work(n, 0.1) });
+    }
+    let out = run_until(&mut node, ms(1000));
+    assert_eq!(answers(&out, 0), [(ms(100), Answer::Served { dropped: false })]);
+    assert_eq!(answers(&out, 1), [(ms(100), Answer::TurnedAway(Refusal::Expired))]);
+    let full: Vec<_> = answers(&out, 2).into_iter().map(|(_, a)| a).collect();
+    assert_eq!(full, [Answer::TurnedAway(Refusal::QueueFull)]);
+}
+
+#[test]
+fn a_draining_node_finishes_what_it_has_and_takes_nothing_new() {
+    let mut node = node(NodeSpec::default());
+    assert!(node.connect(ms(0), 1) && node.connect(ms(0), 2));
+    node.request(ms(0), 1, 1, work(1, 0.1));
+    node.drain(ms(10), true);
+    node.request(ms(20), 2, 2, work(2, 0.1));
+    let out = run_until(&mut node, ms(500));
+    assert_eq!(answers(&out, 1)[0].1, Answer::Served { dropped: false });
+    assert_eq!(answers(&out, 2)[0].1, Answer::TurnedAway(Refusal::Draining));
+    node.drain(ms(600), false);
+    assert_eq!(node.state(), State::Up);
+}
+
+#[test]
+fn holds_so_many_connections_and_lets_idle_ones_go() {
+    let mut node = node(NodeSpec { connections: 2, keep_alive: ms(1000), ..NodeSpec::default() });
+    assert!(node.connect(ms(0), 1) && node.connect(ms(400), 2));
+    assert!(!node.connect(ms(500), 3), "its table is full");
+    let out = run_until(&mut node, ms(1200));
+    assert_eq!(out, [(ms(1000), Output::Ended { connection: 1, attempt: None })]);
+    assert!(node.connect(ms(1200), 4));
+}
+
+#[test]
+fn a_connection_that_was_forgotten_in_silence_resets_what_comes_on_it() {
+    let mut node = node(NodeSpec::default());
+    assert!(node.connect(ms(0), 1));
+    node.let_go_after(ms(100), Some((ms(500), true)));
+    assert!(run_until(&mut node, ms(2000)).is_empty(), "it says nothing");
+    assert_eq!(node.open(), 0);
+    node.request(ms(2000), 1, 7, work(7, 0.01));
+    let out: Vec<_> = node.outputs().collect();
+    assert_eq!(out, [Output::Ended { connection: 1, attempt: Some(7) }]);
+}
+
+#[test]
+fn a_handshake_costs_work_and_the_first_request_waits_for_it() {
+    let mut node = node(NodeSpec { cores: 1, handshake: 0.03, ..NodeSpec::default() });
+    assert!(node.connect(ms(0), 1));
+    node.request(ms(1), 1, 1, work(1, 0.1));
+    assert_eq!(answers(&run_until(&mut node, ms(500)), 1)[0].0, ms(130));
+    node.request(ms(500), 1, 2, work(2, 0.1));
+    assert_eq!(answers(&run_until(&mut node, ms(900)), 2)[0].0, ms(600), "the second one does not");
+}
+
+#[test]
+fn a_neighbour_takes_its_share_and_a_pause_takes_all() {
+    let mut node = node(NodeSpec { cores: 1, ..NodeSpec::default() });
+    assert!(node.connect(ms(0), 1));
+    node.share_with_neighbour(ms(0), 0.5);
+    node.request(ms(0), 1, 1, work(1, 0.1));
+    assert_eq!(answers(&run_until(&mut node, ms(1000)), 1)[0].0, ms(200));
+    node.share_with_neighbour(ms(1000), 0.0);
+    node.request(ms(1000), 1, 2, work(2, 0.1));
+    run_until(&mut node, ms(1050));
+    node.pause(ms(1050), ms(300));
+    assert_eq!(answers(&run_until(&mut node, ms(3000)), 2)[0].0, ms(1400));
+    let pause = PauseSpec { every: ms(500), lasts: ms(100), grows: 0.0 };
+    let mut paused = Node::new(
+        3,
+        NodeSpec { pause: Some(pause), ..NodeSpec::default() },
+        Draws::new(1),
+        Memories::default(),
+        ms(0),
+    );
+    assert!(paused.connect(ms(0), 1));
+    paused.request(ms(0), 1, 1, work(1, 100.0));
+    let at = answers(&run_until(&mut paused, ms(600_000)), 1)[0].0.as_secs_f64();
+    assert!((112.0..128.0).contains(&at), "100 s of work and a fifth more of pauses took {at} s");
+}
+
+#[test]
+fn a_key_that_was_met_lately_costs_less() {
+    let spec = NodeSpec { cores: 1, key_gain: 0.5, key_for: ms(1000), key_places: 2, ..NodeSpec::default() };
+    let mut node = node(spec);
+    assert!(node.connect(ms(0), 1));
+    let mut took = |at: u64, key: u64| {
+        node.request(ms(at), 1, at, Work { subject: Some(key), ..work(at, 0.1) });
+        (answers(&run_until(&mut node, ms(at + 200)), at)[0].0 - ms(at)).as_millis()
+    };
+    assert_eq!(took(0, 1), 100);
+    assert_eq!(took(500, 1), 50);
+    assert_eq!(took(2000, 1), 100, "forgotten with time");
+    assert_eq!((took(2300, 2), took(2600, 3)), (100, 100));
+    assert_eq!(took(2900, 1), 100, "no place was left for it");
+}
+
+#[test]
+fn chokes_when_it_holds_too_much_and_rests_before_it_is_well() {
+    let choke =
+        ChokeSpec { at: 4.0, over: ms(1000), slower: 3.0, below: 0.3, rest: ms(1000), most: ms(20_000) };
+    let mut node = node(NodeSpec { cores: 1, slots: 100, choke: Some(choke), ..NodeSpec::default() });
+    for n in 0..8 {
+        assert!(node.connect(ms(0), n));
+        node.request(ms(0), n, n, work(n, 0.5));
+    }
+    run_until(&mut node, ms(900));
+    assert!(!node.choked(), "not before its time");
+    run_until(&mut node, ms(1200));
+    assert!(node.choked(), "eight on one core for a second");
+    // Four seconds of work in all: about a second was done at full speed, and the rest takes thrice as long.
+    let out = run_until(&mut node, ms(30_000));
+    let last = (0..8).map(|n| answers(&out, n)[0].0).max().expect("eight answers");
+    assert!((ms(9000)..ms(11_500)).contains(&last), "{last:?}");
+    assert!(!node.choked(), "it has rested");
+}
+
+#[test]
+fn reports_are_refreshed_now_and_then_and_late() {
+    let mut spec = NodeSpec { cores: 4, ..NodeSpec::default() };
+    (spec.report.period, spec.report.late) = (ms(500), ms(200));
+    let mut node = node(spec);
+    for n in 0..5 {
+        assert!(node.connect(ms(0), n));
+        node.request(ms(0), n, n, work(n, 100.0));
+    }
+    let mut seen = Vec::new();
+    for at in (50..2500).step_by(50) {
+        run_until(&mut node, ms(at));
+        let id = 1000 + at;
+        assert!(node.connect(ms(at), id));
+        node.fail(ms(at), 1.0);
+        node.request(ms(at), id, id, work(id, 0.001));
+        let report = node.outputs().find_map(|o| match o {
+            Output::Answered { report, .. } => Some(report.inflight),
+            _ => None,
+        });
+        seen.push(report.expect("it fails at once"));
+    }
+    assert_eq!(seen[0], 0.0, "nothing has been reported yet");
+    assert!(seen.ends_with(&[5.0]), "{seen:?}");
+    let turns = seen.windows(2).filter(|w| w[0] != w[1]).count();
+    assert_eq!(turns, 1, "a report moves at its refresh alone: {seen:?}");
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Connect,
+    Ask(usize, u32),
+    Leave(usize),
+    Wait(u64),
+    Kill,
+    CutOff,
+    Start,
+    Drain(bool),
+    Neighbour(f64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => Just(Step::Connect),
+        8 => (0usize..30, 1u32..400).prop_map(|(c, w)| Step::Ask(c, w)),
+        2 => (0usize..30).prop_map(Step::Leave),
+        6 => (0u64..800).prop_map(Step::Wait),
+        1 => Just(Step::Kill),
+        1 => Just(Step::CutOff),
+        2 => Just(Step::Start),
+        1 => any::<bool>().prop_map(Step::Drain),
+        1 => (0.0..0.9).prop_map(Step::Neighbour),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    /// Whatever happens to a node, an attempt ends once at the most, nothing of it is left when all is over, and it
+    /// never holds more than it was given.
+    #[test]
+    fn every_attempt_ends_once(steps in proptest::collection::vec(step(), 1..120), seed in any::<u64>()) {
+        let choke = Some(ChokeSpec { at: 2.0, over: ms(500), slower: 2.0, below: 0.3, rest: ms(500), most: ms(5000) });
+        let pause = Some(PauseSpec { every: ms(700), lasts: ms(40), grows: 1.0 });
+        let spec = NodeSpec { slots: 3, queue: 2, connections: 12, handshake: 0.002, choke, pause,
+            keep_alive: ms(900), error_rate: 0.1, ..NodeSpec::default() };
+        let mut node = Node::new(1, spec, Draws::new(seed), Memories::default(), Duration::ZERO);
+        let (mut now, mut ids) = (Duration::ZERO, 0u64);
+        let (mut open, mut out): (Vec<u64>, HashMap<u64, u64>) = (Vec::new(), HashMap::new());
+        let mut ended = HashSet::new();
+        for step in steps.into_iter().chain([Step::Start, Step::Wait(100_000)]) {
+            match step {
+                Step::Connect => {
+                    ids += 1;
+                    if node.connect(now, ids) {
+                        open.push(ids);
+                    }
+                }
+                Step::Ask(c, w) => {
+                    let free: Vec<u64> = open.iter().copied().filter(|c| !out.values().any(|o| o == c)).collect();
+                    if let Some(&connection) = free.get(c % free.len().max(1)) {
+                        ids += 1;
+                        if node.state() != State::Silent {
+                            out.insert(ids, connection); // one that is cut off never answers
+                        }
+                        node.request(now, connection, ids, work(ids, f64::from(w) * 1e-3));
+                    }
+                }
+                Step::Leave(c) => {
+                    if !open.is_empty() {
+                        let connection = open.remove(c % open.len());
+                        out.retain(|_, o| *o != connection);
+                        node.disconnect(now, connection);
+                    }
+                }
+                Step::Wait(t) => {
+                    now += ms(t);
+                    node.advance(now);
+                }
+                Step::Kill => node.kill(now),
+                Step::CutOff => {
+                    node.cut_off(now);
+                    out.clear(); // what was out is silent for good
+                }
+                Step::Start => node.start_cold(now),
+                Step::Drain(on) => node.drain(now, on),
+                Step::Neighbour(share) => node.share_with_neighbour(now, share),
+            }
+            for output in node.outputs() {
+                let (attempt, connection) = match output {
+                    Output::Answered { attempt, .. } => (Some(attempt), None),
+                    Output::Ended { attempt, connection } => (attempt, Some(connection)),
+                    Output::Began { .. } | Output::FellOver => (None, None),
+                };
+                if let Some(attempt) = attempt {
+                    prop_assert!(ended.insert(attempt), "{attempt} ended twice");
+                    out.remove(&attempt);
+                }
+                if let Some(connection) = connection {
+                    open.retain(|c| *c != connection);
+                }
+            }
+            prop_assert!(node.held() <= 12 && node.open() <= 12);
+            prop_assert!((0.0..=1.0).contains(&node.warmth()));
+        }
+        if node.state() == State::Up {
+            prop_assert_eq!(node.held(), 0, "{:?}", out);
+            prop_assert!(out.is_empty(), "{:?} got no answer", out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/tests/mutants.rs
@@ -0,0 +1,299 @@
+//! A small gateway with one fault at a time, and the ledger that has to name just that fault. If wrong bookkeeping
+//! could pass as good service, no other test on the rig would be worth anything.
+
+use ottervane_rig::ledger::Rule;
+use ottervane_rig::live::gateways::{RunningGateway, StartGateway, Starting, Stopping};
+use ottervane_rig::live::http::{Connection, First, Kind, Message};
+use ottervane_rig::replay::replay;
+use ottervane_rig::script::Script;
+use serde_json::Value;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout, Instant};
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    None,
+    AnswersTwice,
+    SendsTwoCopies,
+    SendsToDrained,
+    HoldsBack,
+    SwapsBodies,
+    SendsAfterAnswer,
+    ResendsKeyedElsewhere,
+    RefusesWhatMayHaveRun,
+    NeverAnswers,
+}
+
+struct Mutant(Fault);
+
+struct Running(SocketAddr);
+
+impl StartGateway for Mutant {
+    fn start<'a>(&'a self, _gateway: usize, config: Value) -> Starting<'a> {
+        Box::pin(async move {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let address = listener.local_addr().expect("an address");
+            let proxy = Rc::new(Proxy::new(self.0, &config));
+            spawn_local(proxy.clone().follow());
+            spawn_local(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    spawn_local(proxy.clone().serve(Connection::new(stream)));
+                }
+            });
+            Ok(Box::new(Running(address)) as Box<dyn RunningGateway>)
+        })
+    }
+}
+
+impl RunningGateway for Running {
+    fn address(&self) -> SocketAddr {
+        self.0
+    }
+
+    fn ended(&mut self) -> Option<String> {
+        None
+    }
+
+    fn cpu(&self) -> Option<Duration> {
+        None
+    }
+
+    fn stop<'a>(&'a mut self) -> Stopping<'a> {
+        Box::pin(async { Ok(()) })
+    }
+}
+
+/// Sends each request to the nodes in turn, on a connection of its own, once; unless it has a fault.
+struct Proxy {
+    fault: Fault,
+    discovery: SocketAddr,
+    nodes: RefCell<Vec<(SocketAddr, u64)>>,
+    turn: Cell<usize>,
+    last_body: RefCell<Vec<u8>>,
+}
+
+fn listed(list: &Value) -> Vec<(SocketAddr, u64)> {
+    let entries = list["endpoints"].as_array().expect("a list");
+    let active = entries.iter().filter(|e| e["status"] == "active");
+    let node = |e: &Value| {
+        let address = e["address"].as_str().expect("text").parse().expect("an address");
+        (address, e["group"].as_u64().expect("a group"))
+    };
+    active.map(node).collect()
+}
+
+fn text(message: &Message) -> Vec<u8> {
+    let First::Request { method, path } = &message.first else { return Vec::new() };
+    let mut text = format!("{method} {path} HTTP/1.1\r\n");
+    message.headers.iter().for_each(|(name, value)| text += &format!("{name}: {value}\r\n"));
+    [text.as_bytes(), b"\r\n", &message.body].concat()
+}
+
+impl Proxy {
+    fn new(fault: Fault, config: &Value) -> Proxy {
+        let discovery = config["discovery"].as_str().expect("text").parse().expect("an address");
+        let nodes = RefCell::new(listed(&config["known"]));
+        Proxy { fault, discovery, nodes, turn: Cell::default(), last_body: RefCell::default() }
+    }
+
+    async fn follow(self: Rc<Self>) {
+        loop {
+            sleep(Duration::from_millis(100)).await;
+            let Ok(stream) = TcpStream::connect(self.discovery).await else { continue };
+            let mut wire = Connection::new(stream);
+            let asked = wire.write(b"GET /registry/instances HTTP/1.1\r\nHost: r\r\n\r\n").await;
+            let answer = wire.read(Kind::Answer, || Duration::ZERO, |_, _| {}).await;
+            if let (Ok(()), Ok(answer)) = (asked, answer) {
+                let list = serde_json::from_slice(&answer.body).expect("a list");
+                if self.fault != Fault::SendsToDrained {
+                    self.nodes.replace(listed(&list));
+                }
+            }
+        }
+    }
+
+    fn next(&self, but: Option<u64>) -> SocketAddr {
+        loop {
+            self.turn.set(self.turn.get() + 1);
+            let nodes = self.nodes.borrow();
+            let (address, rack) = nodes[self.turn.get() % nodes.len()];
+            if Some(rack) != but {
+                return address;
+            }
+        }
+    }
+
+    fn rack(&self, address: SocketAddr) -> Option<u64> {
+        self.nodes.borrow().iter().find(|n| n.0 == address).map(|n| n.1)
+    }
+
+    async fn attempt(&self, to: SocketAddr, request: &[u8]) -> Option<Message> {
+        let mut wire = Connection::new(TcpStream::connect(to).await.ok()?);
+        wire.write(request).await.ok()?;
+        wire.read(Kind::Answer, || Duration::ZERO, |_, _| {}).await.ok()
+    }
+
+    async fn serve(self: Rc<Self>, mut wire: Connection) {
+        while let Ok(request) = wire.read(Kind::Request, || Duration::ZERO, |_, _| {}).await {
+            let came = Instant::now();
+            if matches!(&request.first, First::Request { path, .. } if path == "/health/ready") {
+                let _ = wire.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await;
+                continue;
+            }
+            let micros =
+                request.header("x-timeout").and_then(|t| t.strip_suffix('u')).and_then(|t| t.parse().ok());
+            let wait = Duration::from_micros(micros.expect("a time to wait"));
+            let answer = timeout(wait.mul_f64(0.8), self.decide(&request)).await.ok().flatten();
+            let served = answer.as_ref().is_some_and(|a| a.status() == 200);
+            let never_ran = answer.as_ref().is_some_and(|a| a.header("x-not-processed").is_some());
+            let body = answer.map(|a| a.body).unwrap_or_default();
+            let (status, body) = match served {
+                true if self.fault == Fault::SwapsBodies => (200, self.last_body.replace(body)),
+                true => (200, body),
+                false if never_ran || self.fault == Fault::RefusesWhatMayHaveRun => (503, Vec::new()),
+                false => (502, Vec::new()),
+            };
+            if status != 200 && self.fault == Fault::HoldsBack {
+                sleep((wait - Duration::from_millis(300)).saturating_sub(came.elapsed())).await;
+            }
+            if self.fault == Fault::NeverAnswers && self.turn.get().is_multiple_of(5) {
+                sleep(wait * 2).await;
+            }
+            let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n", body.len());
+            let answer = [head.as_bytes(), &body].concat();
+            let twice = self.fault == Fault::AnswersTwice;
+            if wire.write(&if twice { answer.repeat(2) } else { answer }).await.is_err() {
+                return;
+            }
+            if self.fault == Fault::SendsAfterAnswer {
+                sleep(Duration::from_millis(400)).await;
+                self.attempt(self.next(None), &text(&request)).await;
+            }
+        }
+    }
+
+    async fn decide(&self, request: &Message) -> Option<Message> {
+        let (to, bytes) = (self.next(None), text(request));
+        match self.fault {
+            Fault::SendsTwoCopies => {
+                let (one, _) = tokio::join!(self.attempt(to, &bytes), self.attempt(self.next(None), &bytes));
+                one
+            }
+            Fault::ResendsKeyedElsewhere => {
+                let first = self.attempt(to, &bytes).await;
+                match first {
+                    Some(answer) if answer.status() == 200 => Some(answer),
+                    _ => self.attempt(self.next(self.rack(to)), &bytes).await,
+                }
+            }
+            _ => self.attempt(to, &bytes).await,
+        }
+    }
+}
+
+/// What the ledger finds in three seconds of a gateway with this fault.
+fn found(fault: Fault, lasts: &str, event: &str) -> BTreeSet<Rule> {
+    let text = format!(
+        r#"
+        name = "mutant"
+        lasts = "{lasts}"
+        [fleet]
+        gateways = 1
+        nodes = 6
+        rack = 1
+        error_rate = 0.0
+        [load]
+        rate = 25
+        [clients]
+        retries = 0
+        [register]
+        notice = "50ms"
+        [[class]]
+        name = "look"
+        work = "120ms"
+        aim = "1500ms"
+        deadline = "6s"
+        [[class]]
+        name = "book"
+        work = "120ms"
+        aim = "1500ms"
+        deadline = "6s"
+        effect = "keyed"
+        group = "rack"
+        window = "5s"
+        {event}
+        "#
+    );
+    let script = Script::parse("mutant.toml", &text).expect("a script");
+    let (report, _) = replay(&script, 5, None, &Mutant(fault), &|_, _, _| {}).expect("a run");
+    assert!(report.counts.asked > 30, "{:?}", report.counts);
+    report.breaches.iter().map(|b| b.rule).collect()
+}
+
+const FAILING: &str = "[[event]]\nat = \"200ms\"\nwhat = \"fail\"\npart = 0.5\nshare = 1.0";
+const DRAINING: &str = "[[event]]\nat = \"200ms\"\nwhat = \"drain\"\nnodes = [\"n01\"]";
+
+fn only(rule: Rule) -> BTreeSet<Rule> {
+    BTreeSet::from([rule])
+}
+
+#[test]
+fn finds_nothing_where_there_is_no_fault() {
+    assert_eq!(found(Fault::None, "2s", FAILING), BTreeSet::new());
+}
+
+#[test]
+fn finds_nothing_where_a_drain_is_kept() {
+    assert_eq!(found(Fault::None, "4s", DRAINING), BTreeSet::new());
+}
+
+#[test]
+fn finds_a_second_answer() {
+    assert_eq!(found(Fault::AnswersTwice, "2s", ""), only(Rule::AnsweredTwice));
+}
+
+#[test]
+fn finds_two_copies() {
+    assert!(found(Fault::SendsTwoCopies, "2s", "").contains(&Rule::TwoCopies));
+}
+
+#[test]
+fn finds_what_is_sent_to_a_drained_node() {
+    assert_eq!(found(Fault::SendsToDrained, "4s", DRAINING), only(Rule::SentToDrained));
+}
+
+#[test]
+fn finds_an_answer_that_is_held_to_the_deadline() {
+    assert_eq!(found(Fault::HoldsBack, "2s", FAILING), only(Rule::HeldBack));
+}
+
+#[test]
+fn finds_an_answer_with_another_requests_body() {
+    assert_eq!(found(Fault::SwapsBodies, "2s", ""), only(Rule::ForeignAnswer));
+}
+
+#[test]
+fn finds_what_is_sent_after_the_answer() {
+    assert!(found(Fault::SendsAfterAnswer, "2s", "").contains(&Rule::SentAfterAnswer));
+}
+
+#[test]
+fn finds_a_keyed_request_that_is_sent_again_to_another_rack() {
+    assert_eq!(found(Fault::ResendsKeyedElsewhere, "2s", FAILING), only(Rule::ResentAgainstClass));
+}
+
+#[test]
+fn finds_a_refusal_of_what_may_have_run() {
+    assert_eq!(found(Fault::RefusesWhatMayHaveRun, "2s", FAILING), only(Rule::RefusedAfterRun));
+}
+
+#[test]
+fn finds_what_is_never_answered() {
+    assert_eq!(found(Fault::NeverAnswers, "1500ms", ""), only(Rule::Unanswered));
+}
--- /dev/null
+++ b/crates/rig/tests/scripts.rs
@@ -0,0 +1,172 @@
+//! Scripts: those that ship hold, mistakes are all told, and two runs of one seed are the same to the byte.
+
+use ottervane_rig::draws::Draws;
+use ottervane_rig::ledger::Rule;
+use ottervane_rig::plan::{met, plan};
+use ottervane_rig::report::Report;
+use ottervane_rig::script::Script;
+use ottervane_rig::simulate::simulate;
+use ottervane_rig::timeline::svg;
+use proptest::prelude::*;
+use std::collections::HashSet;
+use std::fs;
+
+fn shipped() -> Vec<(String, String)> {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/scripts");
+    let files =
+        fs::read_dir(folder).expect("the folder of scripts").map(|entry| entry.expect("an entry").path());
+    let mut scripts: Vec<_> =
+        files.map(|p| (p.display().to_string(), fs::read_to_string(&p).expect("a script"))).collect();
+    scripts.sort();
+    scripts
+}
+
+fn script(text: &str) -> Script {
+    Script::parse("test.toml", text).expect("a script")
+}
+
+fn run(script: &Script, seed: u64) -> Report {
+    simulate(script, seed, None).expect("settings that the module takes").0
+}
+
+#[test]
+fn all_that_ship_are_as_they_should_be_and_are_played_alike_twice() {
+    let shipped = shipped();
+    assert!(shipped.len() >= 8, "{} scripts", shipped.len());
+    for (file, text) in shipped {
+        let script = Script::parse(&file, &text).unwrap_or_else(|problems| panic!("{problems}"));
+        if script.fleet.gateways > 50 {
+            continue; // the full size is measured, in a release build
+        }
+        let (one, other) = (run(&script, 3), run(&script, 3));
+        assert_eq!(one.to_json(), other.to_json(), "{file}");
+        assert_eq!(one.breaches, [], "{file}");
+        let service = one.service.as_ref().expect("a figure").whole;
+        assert!((0.5..=1.0).contains(&service), "{file}: {service}");
+        assert_ne!(one.to_json(), run(&script, 4).to_json(), "{file}: another seed is another day");
+    }
+}
+
+#[test]
+fn every_mistake_is_told_with_its_line_and_key() {
+    let text = r#"
+name = "wrong"
+lasts = "2"
+colour = "blue"
+[load]
+rate = -3
+shape = "flat"
+[fleet]
+nodes = 4
+[[class]]
+name = "look"
+aim = "2s"
+deadline = "1s"
+window = "1s"
+[[event]]
+what = "kill"
+nodes = ["n07"]
+[[event]]
+at = "30s"
+what = "explode"
+[[event]]
+at = "1s"
+what = "heavy"
+class = "buy"
+zone = "moon"
+"#;
+    let problems = Script::parse("wrong.toml", text).expect_err("much is wrong");
+    let lines: Vec<(usize, &str)> = problems.list.iter().map(|p| (p.line, p.key.as_str())).collect();
+    let expected = [
+        (3, "lasts"),
+        (4, "colour"),
+        (6, "load.rate"),
+        (7, "load.shape"),
+        (12, "class[0].aim"),
+        (14, "class[0].window"),
+        (15, "event[0].at"),
+        (17, "event[0].nodes"),
+        (19, "event[1].at"),
+        (20, "event[1].what"),
+        (23, "event[2].what"),
+        (24, "event[2].class"),
+        (25, "event[2].zone"),
+    ];
+    assert_eq!(lines, expected, "{problems}");
+    let text = problems.to_string();
+    assert!(
+        text.contains("wrong.toml:17: event[0].nodes: \"n07\" is no node; they are n00 to n03"),
+        "{text}"
+    );
+}
+
+#[test]
+fn a_request_is_the_same_whatever_else_happens() {
+    let calm = script("name = \"a\"\nlasts = \"5s\"");
+    let rough =
+        script("name = \"a\"\nlasts = \"5s\"\n[[event]]\nat = \"1s\"\nwhat = \"kill\"\nshare = 0.5\n");
+    let draws = Draws::new(9);
+    let (one, other) = (plan(&calm, draws), plan(&rough, draws));
+    assert_eq!(one, other, "what nodes do moves no request");
+    let numbers: HashSet<u64> = one.iter().flat_map(|a| (0..4).map(|t| a.number(draws, t))).collect();
+    assert_eq!(numbers.len(), one.len() * 4, "no number comes twice");
+    let rate = one.len() as f64 / 5.0;
+    assert!((260.0..340.0).contains(&rate), "{rate} a second where 300 are asked for");
+    assert_eq!(met(&rough, draws, 0).len(), 6);
+    assert_eq!(met(&rough, draws, 0), met(&rough, draws, 0));
+}
+
+#[test]
+fn a_surge_multiplies_the_load_while_it_lasts() {
+    let surge =
+        "name = \"a\"\nlasts = \"9s\"\n[[event]]\nat = \"3s\"\nlasts = \"3s\"\nwhat = \"surge\"\ntimes = 3\n";
+    let day = plan(&script(surge), Draws::new(1));
+    let third = |n: u64| day.iter().filter(|a| a.at.as_secs() / 3 == n).count() as f64;
+    let times = third(1) / ((third(0) + third(2)) / 2.0);
+    assert!((2.6..3.4).contains(&times), "{times}");
+}
+
+#[test]
+fn virtual_time_finds_what_goes_wrong() {
+    // Nodes that fail half of everything cost service, and no rule.
+    let failing = script(
+        "name = \"f\"\nlasts = \"6s\"\n[load]\nrate = 100\n[clients]\nretries = 0\n[[event]]\nat = \"0s\"\nwhat = \"fail\"\npart = 0.9\n",
+    );
+    let report = run(&failing, 1);
+    assert!(report.service.as_ref().expect("a figure").whole < 0.8, "{}", report.to_text());
+    assert_eq!(report.breaches, []);
+    // A cold fleet that is told of as cold must not be pushed over; one that starts with no word of it may be.
+    let cold = script(
+        "name = \"c\"\nlasts = \"12s\"\n[fleet]\nnodes = 6\ncold_from = 0.13\ncold_for = \"10s\"\n[load]\nrate = 100\n[[event]]\nat = \"2s\"\nwhat = \"restart\"\nshare = 0.5\ngone = \"3s\"\n",
+    );
+    let report = run(&cold, 1);
+    assert!(!report.breaches.iter().any(|b| b.rule == Rule::PushedOver), "{}", report.to_text());
+}
+
+#[test]
+fn the_timeline_is_drawn() {
+    let report = run(&script("name = \"t\"\nlasts = \"2s\""), 1);
+    let picture = svg(&report).expect("a picture");
+    assert!(picture.starts_with("<svg") && picture.contains("answers in time") && picture.contains("warm"));
+    assert!(report.timeline.iter().any(|s| s.held > 0), "something was held at some time");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// A script with a line more, less or changed is read or refused; nothing panics, and what is read can be planned.
+    #[test]
+    fn no_text_makes_the_reader_panic(pick in any::<prop::sample::Index>(), line in any::<prop::sample::Index>(),
+        other in "[a-z_]{1,9} = ([0-9.\\-]{1,6}|\"[a-z0-9.\\-]{0,8}\"|\\[.{0,6}\\])") {
+        let shipped = shipped();
+        let (file, text) = &shipped[pick.index(shipped.len())];
+        let mut lines: Vec<&str> = text.lines().collect();
+        let at = line.index(lines.len());
+        lines[at] = &other;
+        if let Ok(mut script) = Script::parse(file, &lines.join("\n")) {
+            script.lasts = script.lasts.min(std::time::Duration::from_secs(1));
+            script.load.rate = script.load.rate.min(50.0);
+            prop_assert!(plan(&script, Draws::new(1)).len() < 10_000);
+        }
+    }
+}
