--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,11 +1,9 @@
 //! The built gateway on loopback sockets, against hosts and a discovery that fail on purpose. Each test guards
 //! against one failure; none depends on how fast the machine is.
 
-mod fakes;
-
-use fakes::{
-    config, entry, refusing, request, settings, spawn_gateway, wait_for, write_config, Client, FakeDiscovery,
-    FakeHost, Gateway, Http, Reply,
+use ottervane_rig::scripted::{
+    config, entry, refusing, request, settings, spawn_gateway, wait_for, write_config, Client, Gateway, Http,
+    Program, Reply, ScriptedNode, ScriptedRegister,
 };
 use serde_json::{json, Value};
 use std::io::Read;
@@ -14,6 +12,9 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
+const PROGRAM: Program =
+    Program { path: env!("CARGO_BIN_EXE_ottervane-gateway"), folder: env!("CARGO_TARGET_TMPDIR") };
+
 /// Clients that have every place, with requests that wait for a host: the gateway knows none.
 fn hold_all_places(gateway: &Gateway) -> Vec<Client> {
     hold_places(gateway, CLIENTS_OF_48)
@@ -35,24 +36,24 @@
 /// The clients that are taken in beyond those.
 const OVERFLOW_OF_48: usize = 4;
 
-fn start(name: &str, hosts: &[Value]) -> (Gateway, FakeDiscovery) {
-    let discovery = FakeDiscovery::start();
-    (Gateway::start(name, &discovery, 1024, hosts), discovery)
+fn start(name: &str, hosts: &[Value]) -> (Gateway, ScriptedRegister) {
+    let discovery = ScriptedRegister::start();
+    (Gateway::start(&PROGRAM, name, &discovery, 1024, hosts), discovery)
 }
 
 /// Hosts of these cells, of which the first to be sent a request treats it like this and the others serve.
-fn first_does(reply: Reply, cells: &[u32]) -> Vec<FakeHost> {
+fn first_does(reply: Reply, cells: &[u32]) -> Vec<ScriptedNode> {
     let first = Arc::new(AtomicBool::new(true));
     let host = |_| {
         let (first, reply) = (first.clone(), reply.clone());
-        FakeHost::start(
+        ScriptedNode::start(
             move |_| if first.swap(false, Ordering::SeqCst) { reply.clone() } else { Reply::ok("ok") },
         )
     };
     cells.iter().map(host).collect()
 }
 
-fn entries(hosts: &[FakeHost], cells: &[u32]) -> Vec<Value> {
+fn entries(hosts: &[ScriptedNode], cells: &[u32]) -> Vec<Value> {
     (0..)
         .zip(hosts)
         .zip(cells)
@@ -61,17 +62,18 @@
 }
 
 /// One host under many names: the module lets in as many requests at a time as there are hosts.
-fn crowd(host: &FakeHost) -> Vec<Value> {
+fn crowd(host: &ScriptedNode) -> Vec<Value> {
     (0..30).map(|n| host.entry(&format!("s-{n}"), 1)).collect()
 }
 
-fn sent(hosts: &[FakeHost]) -> usize {
-    hosts.iter().map(FakeHost::count).sum()
+fn sent(hosts: &[ScriptedNode]) -> usize {
+    hosts.iter().map(ScriptedNode::count).sum()
 }
 
 #[test]
 fn serves_what_the_host_made() {
-    let host = FakeHost::start(|r| Reply::Answer(200, "X-Kind: fine\r\n", [b"re: ", &r.body[..]].concat()));
+    let host =
+        ScriptedNode::start(|r| Reply::Answer(200, "X-Kind: fine\r\n", [b"re: ", &r.body[..]].concat()));
     let (gateway, _discovery) = start("served", &[host.entry("s-1", 1)]);
     let mut client = gateway.connect();
     for round in 1..=3 {
@@ -91,7 +93,7 @@
 
 #[test]
 fn refuses_what_never_ran_and_says_when_to_come_back() {
-    let host = FakeHost::start(|_| Reply::Answer(503, "X-Not-Processed: 1\r\n", Vec::new()));
+    let host = ScriptedNode::start(|_| Reply::Answer(503, "X-Not-Processed: 1\r\n", Vec::new()));
     let (gateway, _discovery) = start("refused", &[host.entry("s-1", 1)]);
     let answer = gateway.ask("brief-once");
     assert_eq!(answer.status(), 503);
@@ -117,7 +119,7 @@
     let (gateway, discovery) = start("no-connection", &[entry("s-1", &nobody, 1, "active")]);
     let mut client = gateway.connect();
     client.send("once");
-    let host = FakeHost::start(|_| Reply::ok("ok"));
+    let host = ScriptedNode::start(|_| Reply::ok("ok"));
     discovery.push(json!({"index": 42, "snapshot": false, "endpoints": [host.entry("s-2", 1)]}));
     assert_eq!(client.read().expect("an answer").status(), 200);
     assert_eq!(host.count(), 1);
@@ -139,7 +141,7 @@
     let breaks = Arc::new(AtomicBool::new(false));
     let host = |_| {
         let breaks = breaks.clone();
-        FakeHost::start(move |_| match breaks.fetch_xor(true, Ordering::SeqCst) {
+        ScriptedNode::start(move |_| match breaks.fetch_xor(true, Ordering::SeqCst) {
             false => Reply::Break,
             true => Reply::ok("ok"),
         })
@@ -179,7 +181,7 @@
 fn waits_for_the_answer_behind_a_1xx() {
     let early = "HTTP/1.1 103 Early Hints\r\nX-Early: 1\r\n\r\n".to_owned();
     let answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate".to_owned();
-    let host = FakeHost::start(move |_| Reply::Raw(vec![early.clone(), answer.clone()]));
+    let host = ScriptedNode::start(move |_| Reply::Raw(vec![early.clone(), answer.clone()]));
     let (gateway, _discovery) = start("early", &[host.entry("s-1", 1)]);
     let answer = gateway.ask("once");
     assert_eq!((answer.status(), &answer.body[..]), (200, &b"late"[..]));
@@ -199,7 +201,7 @@
     ];
     for (n, more) in behind.into_iter().enumerate() {
         let report = "X-Server-Load: =,;inflight=many, qps\r\n";
-        let host = FakeHost::start(move |r| {
+        let host = ScriptedNode::start(move |r| {
             Reply::Raw(more(good(r, "HTTP/1.1 102 Processing\r\nX-Early: 1\r\n\r\n", report)))
         });
         let (gateway, _discovery) = start(&format!("behind-{n}"), &[host.entry("s-1", 1)]);
@@ -246,7 +248,7 @@
 
 #[test]
 fn gives_up_in_time_and_leaves_the_host() {
-    let host = FakeHost::start(|_| Reply::Hang);
+    let host = ScriptedNode::start(|_| Reply::Hang);
     let (gateway, _discovery) = start("time-out", &[host.entry("s-1", 1)]);
     assert_eq!(gateway.ask("brief").status(), 503);
     assert_eq!(gateway.ask("brief-once").status(), 504);
@@ -261,7 +263,7 @@
 
 #[test]
 fn counts_the_time_before_it_reads_a_request() {
-    let host = FakeHost::start(|_| Reply::ok("ok"));
+    let host = ScriptedNode::start(|_| Reply::ok("ok"));
     let (gateway, _discovery) = start("stalled", &[host.entry("s-1", 1)]);
     let mut client = gateway.connect();
     assert_eq!(client.ask("look").status(), 200);
@@ -275,7 +277,7 @@
 
 #[test]
 fn counts_the_time_that_a_request_waits_behind_another() {
-    let host = FakeHost::start(|r| if r.first.contains("once") { Reply::Hang } else { Reply::ok("ok") });
+    let host = ScriptedNode::start(|r| if r.first.contains("once") { Reply::Hang } else { Reply::ok("ok") });
     let (gateway, _discovery) = start("pipelined", &crowd(&host));
     let mut client = gateway.connect();
     client.write((request("once") + &request("look").replace("40000m", "400m")).as_bytes());
@@ -289,7 +291,7 @@
 
 #[test]
 fn leaves_the_host_when_the_client_has_gone() {
-    let host = FakeHost::start(|_| Reply::Hang);
+    let host = ScriptedNode::start(|_| Reply::Hang);
     let (gateway, _discovery) = start("client-gone", &[host.entry("s-1", 1)]);
     let mut client = gateway.connect();
     client.send("once");
@@ -303,7 +305,7 @@
 
 #[test]
 fn sends_nothing_to_a_host_that_drains_or_is_gone() {
-    let [draining, missing, added] = [(); 3].map(|()| FakeHost::start(|_| Reply::ok("ok")));
+    let [draining, missing, added] = [(); 3].map(|()| ScriptedNode::start(|_| Reply::ok("ok")));
     let known = [draining.entry("s-1", 1), missing.entry("s-2", 1)];
     let (gateway, discovery) = start("drain", &known);
     assert_eq!(gateway.ask("look").status(), 200);
@@ -319,7 +321,7 @@
 
 #[test]
 fn follows_a_host_to_its_new_address() {
-    let [old, new] = [(); 2].map(|()| FakeHost::start(|_| Reply::ok("ok")));
+    let [old, new] = [(); 2].map(|()| ScriptedNode::start(|_| Reply::ok("ok")));
     let (gateway, discovery) = start("address", &[old.entry("s-1", 1)]);
     assert_eq!(gateway.ask("look").status(), 200);
     discovery.push(json!({"index": 42, "snapshot": false, "endpoints": [new.entry("s-1", 1)]}));
@@ -331,7 +333,7 @@
 
 #[test]
 fn gives_a_new_host_at_an_old_address_connections_of_its_own() {
-    let host = FakeHost::start(|_| Reply::ok("ok"));
+    let host = ScriptedNode::start(|_| Reply::ok("ok"));
     let (gateway, discovery) = start("churn", &[host.entry("s-0", 1)]);
     assert_eq!(gateway.ask("look").status(), 200);
     for n in 1..8 {
@@ -345,7 +347,7 @@
 
 #[test]
 fn asks_again_when_the_watch_falls_silent() {
-    let host = FakeHost::start(|_| Reply::ok("ok"));
+    let host = ScriptedNode::start(|_| Reply::ok("ok"));
     let (_gateway, discovery) = start("dead-watch", &[host.entry("s-1", 1)]);
     discovery.push(json!({"index": 57, "snapshot": false, "endpoints": []}));
     sleep(Duration::from_millis(500));
@@ -358,19 +360,19 @@
 
 #[test]
 fn turns_to_the_discovery_of_the_new_file_on_sighup() {
-    let [old, new] = [(); 2].map(|()| FakeHost::start(|_| Reply::ok("ok")));
+    let [old, new] = [(); 2].map(|()| ScriptedNode::start(|_| Reply::ok("ok")));
     let (mut gateway, discovery) = start("reload", &[old.entry("s-1", 1)]);
     let mut client = gateway.connect();
     assert_eq!(client.ask("look").status(), 200);
     wait_for("the first watch", || discovery.calls() > 0);
     // A file that can't be used changes nothing, and ends nothing.
     for bad in ["{".to_owned(), config("nowhere", 1024, &[]).to_string()] {
-        write_config("reload", &bad);
+        write_config(&PROGRAM, "reload", &bad);
         gateway.signal("HUP");
         assert_eq!(client.ask("look").status(), 200);
     }
-    let next = FakeDiscovery::start();
-    write_config("reload", &config(&next.address.to_string(), 1024, &[]).to_string());
+    let next = ScriptedRegister::start();
+    write_config(&PROGRAM, "reload", &config(&next.address.to_string(), 1024, &[]).to_string());
     gateway.signal("HUP");
     gateway.signal("HUP");
     wait_for("a watch on the new one", || next.calls() > 0);
@@ -390,9 +392,9 @@
 
 #[test]
 fn serves_more_clients_than_it_has_sockets() {
-    let host = FakeHost::start(|_| Reply::ok("ok"));
-    let discovery = FakeDiscovery::start();
-    let gateway = Gateway::start("sockets", &discovery, 48, &[host.entry("s-1", 1)]);
+    let host = ScriptedNode::start(|_| Reply::ok("ok"));
+    let discovery = ScriptedRegister::start();
+    let gateway = Gateway::start(&PROGRAM, "sockets", &discovery, 48, &[host.entry("s-1", 1)]);
     let mut clients = Vec::new();
     for _ in 0..60 {
         // One that is idle makes room, but not at once.
@@ -407,9 +409,9 @@
 
 #[test]
 fn closes_no_idle_client_while_there_is_room() {
-    let host = FakeHost::start(|_| Reply::ok("ok"));
-    let discovery = FakeDiscovery::start();
-    let gateway = Gateway::start("room", &discovery, 48, &[host.entry("s-1", 1)]);
+    let host = ScriptedNode::start(|_| Reply::ok("ok"));
+    let discovery = ScriptedRegister::start();
+    let gateway = Gateway::start(&PROGRAM, "room", &discovery, 48, &[host.entry("s-1", 1)]);
     let mut clients: Vec<_> = (0..CLIENTS_OF_48).map(|_| gateway.connect()).collect();
     // Who is told so with an answer may have to go; nobody is cut off between two requests.
     for _ in 0..2 {
@@ -424,9 +426,9 @@
 
 #[test]
 fn refuses_at_once_whom_it_has_no_room_for() {
-    let host = FakeHost::start(|_| Reply::ok("ok"));
-    let discovery = FakeDiscovery::start();
-    let gateway = Gateway::start("no-room", &discovery, 48, &[]);
+    let host = ScriptedNode::start(|_| Reply::ok("ok"));
+    let discovery = ScriptedRegister::start();
+    let gateway = Gateway::start(&PROGRAM, "no-room", &discovery, 48, &[]);
     let mut held = hold_all_places(&gateway);
     let mut refused = Vec::new();
     for _ in 0..10 {
@@ -447,18 +449,18 @@
 
 #[test]
 fn has_places_for_more_than_a_third_of_its_descriptors_in_32_mb() {
-    let discovery = FakeDiscovery::start();
+    let discovery = ScriptedRegister::start();
     let mut config = config("127.0.0.1:1", 256, &[]);
     config["limits"]["memory_mb"] = json!(32);
-    let gateway = Gateway::start_with("places", &discovery, &config);
+    let gateway = Gateway::start_with(&PROGRAM, "places", &discovery, &config);
     let _held = hold_places(&gateway, 100);
 }
 
 #[test]
 fn keeps_the_connections_that_are_used_and_few_that_only_rest() {
-    let host = FakeHost::start(|_| Reply::ok("ok"));
-    let (discovery, sockets) = (FakeDiscovery::start(), 384);
-    let gateway = Gateway::start("resting", &discovery, sockets, &[host.entry("s-1", 1)]);
+    let host = ScriptedNode::start(|_| Reply::ok("ok"));
+    let (discovery, sockets) = (ScriptedRegister::start(), 384);
+    let gateway = Gateway::start(&PROGRAM, "resting", &discovery, sockets, &[host.entry("s-1", 1)]);
     let mut used = gateway.connect();
     let mut kept = Vec::new();
     // Each asks once on a new connection and keeps it. Who may hold a third of the descriptors and no more has to
@@ -479,9 +481,9 @@
 
 #[test]
 fn says_goodbye_with_an_answer_when_others_wait_for_a_place() {
-    let host = FakeHost::start(|_| Reply::ok("ok"));
-    let discovery = FakeDiscovery::start();
-    let gateway = Gateway::start("crowded", &discovery, 48, &[]);
+    let host = ScriptedNode::start(|_| Reply::ok("ok"));
+    let discovery = ScriptedRegister::start();
+    let gateway = Gateway::start(&PROGRAM, "crowded", &discovery, 48, &[]);
     let mut held = hold_all_places(&gateway);
     // Another comes. A close between requests could cross one, a word with an answer can't.
     let _other = gateway.connect();
@@ -493,8 +495,8 @@
 
 #[test]
 fn leaves_new_clients_the_time_to_ask() {
-    let discovery = FakeDiscovery::start();
-    let gateway = Gateway::start("new-clients", &discovery, 48, &[]);
+    let discovery = ScriptedRegister::start();
+    let gateway = Gateway::start(&PROGRAM, "new-clients", &discovery, 48, &[]);
     let held = hold_all_places(&gateway);
     // As many as it can take in beyond its places: none may be cut off to make room for one that may come.
     let asked_soon = || {
@@ -514,9 +516,9 @@
 
 #[test]
 fn holds_its_own_want_of_sockets_against_no_host() {
-    let host = FakeHost::start(|r| if r.first.contains("look") { Reply::Hang } else { Reply::ok("ok") });
-    let discovery = FakeDiscovery::start();
-    let gateway = Gateway::start("host-sockets", &discovery, 48, &crowd(&host));
+    let host = ScriptedNode::start(|r| if r.first.contains("look") { Reply::Hang } else { Reply::ok("ok") });
+    let discovery = ScriptedRegister::start();
+    let gateway = Gateway::start(&PROGRAM, "host-sockets", &discovery, 48, &crowd(&host));
     // More than there are sockets to hosts, and one less than there is room for clients.
     let mut held: Vec<_> = (1..CLIENTS_OF_48).map(|_| gateway.connect()).collect();
     held.iter_mut().for_each(|c| c.send("look"));
@@ -530,7 +532,7 @@
 
 #[test]
 fn sees_that_the_host_closed_a_connection() {
-    let host = FakeHost::start(|_| Reply::ok("ok"));
+    let host = ScriptedNode::start(|_| Reply::ok("ok"));
     let (gateway, _discovery) = start("stale", &[host.entry("s-1", 1)]);
     for _ in 0..5 {
         assert_eq!(gateway.ask("once").status(), 200);
@@ -540,7 +542,7 @@
 
 #[test]
 fn answers_what_it_holds_before_it_ends() {
-    let host = FakeHost::start(|r| if r.first.contains("once") { Reply::Hang } else { Reply::ok("ok") });
+    let host = ScriptedNode::start(|r| if r.first.contains("once") { Reply::Hang } else { Reply::ok("ok") });
     let (mut gateway, _discovery) = start("sigterm", &crowd(&host));
     let mut idle = gateway.connect();
     assert_eq!(idle.ask("look").status(), 200);
@@ -564,7 +566,7 @@
 
 #[test]
 fn answers_malformed_requests_itself() {
-    let host = FakeHost::start(|_| Reply::ok("ok"));
+    let host = ScriptedNode::start(|_| Reply::ok("ok"));
     let (gateway, _discovery) = start("malformed", &[host.entry("s-1", 1)]);
     let (look, pay) = (request("look"), request("pay"));
     let long = "x".repeat((64 << 10) + 1);
@@ -602,7 +604,7 @@
 
 #[test]
 fn rejects_an_id_that_an_open_request_has() {
-    let host = FakeHost::start(|r| if r.first.contains("once") { Reply::Hang } else { Reply::ok("ok") });
+    let host = ScriptedNode::start(|r| if r.first.contains("once") { Reply::Hang } else { Reply::ok("ok") });
     let (gateway, _discovery) = start("same-id", &crowd(&host));
     let (mut first, mut second) = (gateway.connect(), gateway.connect());
     let number = |text: String| {
@@ -626,7 +628,7 @@
 
 #[test]
 fn passes_on_no_request_that_hides_in_a_body() {
-    let host = FakeHost::start(|_| Reply::ok("ok"));
+    let host = ScriptedNode::start(|_| Reply::ok("ok"));
     let (gateway, _discovery) = start("hidden", &[host.entry("s-1", 1)]);
     let hidden = request("look");
     let (length, coding) = (format!("Content-Length: {}", hidden.len() + 5), "Transfer-Encoding: chunked");
@@ -659,7 +661,7 @@
 
 #[test]
 fn sends_hosts_what_the_protocol_names() {
-    let host = FakeHost::start(|_| Reply::ok("ok"));
+    let host = ScriptedNode::start(|_| Reply::ok("ok"));
     let (gateway, _discovery) = start("passed-on", &[host.entry("s-1", 1)]);
     let mut client = gateway.connect();
     let odd = "X-Not-Processed: 1\r\nUpgrade: other\r\nX-Attrs: a=1\r\nX-Tenant-Id";
@@ -674,7 +676,7 @@
 
 #[test]
 fn ends_what_never_becomes_a_request_and_keeps_what_rests() {
-    let host = FakeHost::start(|_| Reply::ok("ok"));
+    let host = ScriptedNode::start(|_| Reply::ok("ok"));
     let (gateway, _discovery) = start("silent", &[host.entry("s-1", 1)]);
     let mut resting = gateway.connect();
     assert_eq!(resting.ask("look").status(), 200);
@@ -701,7 +703,7 @@
         client.read().expect("an answer").status()
     };
     assert_eq!(ready(), 503);
-    let host = FakeHost::start(|_| Reply::ok("ok"));
+    let host = ScriptedNode::start(|_| Reply::ok("ok"));
     discovery.push(json!({"index": 42, "snapshot": true, "endpoints": [host.entry("s-1", 1)]}));
     wait_for("readiness", || ready() == 200);
     assert_eq!(gateway.ask("look").status(), 200);
@@ -724,7 +726,7 @@
         ("little-memory", with("limits", json!({"memory_mb": 1}))),
     ];
     for (name, text) in bad {
-        let mut child = spawn_gateway(name, &text);
+        let mut child = spawn_gateway(&PROGRAM, name, &text);
         let mut log = String::new();
         child.stderr.take().expect("a log").read_to_string(&mut log).expect("text");
         assert!(!child.wait().expect("a status").success(), "{name}");
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod replay;
 pub mod report;
 pub mod script;
+pub mod scripted;
 pub mod simulate;
 pub mod timeline;
--- a/crates/gateway/tests/gateway/fakes.rs
+++ b/crates/rig/src/scripted.rs
@@ -1,11 +1,20 @@
-//! Small stand-ins on the loopback interface, and the built gateway between them.
-
+//! Stand-ins that do what a test says, byte by byte, and the built gateway between them.
+//!
+//! Where [`crate::live`] plays a day, these play one moment: an answer that breaks off, a watch that falls silent, a
+//! request that hides in a body. Each has a thread of its own and blocks. What nodes and clients see goes into one
+//! ledger for each test, which is held against the rules when the test's [`Gateway`] is dropped.
+//!
+//! These functions are for tests: what can't be had (a port, a program) ends the test with a panic.
+
+use crate::ledger::{Ask, AttemptSeen, ClassTerms, Ended, Got, Ledger, Rule, Rules};
+use crate::live::nodes::number;
+use ottervane::{Effect, Group};
 use serde_json::{json, Value};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
@@ -14,6 +23,113 @@
 /// No condition takes this long, on whatever machine.
 pub const LONG: Duration = Duration::from_secs(60);
 
+/// What has been seen in a test, by all its stand-ins.
+#[derive(Clone)]
+pub struct Book {
+    ledger: Arc<Mutex<Ledger>>,
+    start: Instant,
+    attempts: Arc<AtomicU64>,
+}
+
+thread_local! {
+    /// A test runs on a thread of its own, and makes its stand-ins there.
+    static BOOK: Book = Book::new();
+}
+
+/// The classes of [`settings`], by name: the aim, and what a repeat does.
+const WINDOW: Duration = Duration::from_secs(40);
+const CLASSES: [(&str, u64, Effect); 6] = [
+    ("look", 30_000, Effect::Safe),
+    ("pay", 30_000, Effect::Keyed { group: Group::All, window: WINDOW }),
+    ("book", 30_000, Effect::Keyed { group: Group::Cell, window: WINDOW }),
+    ("once", 30_000, Effect::Unsafe),
+    ("brief", 1500, Effect::Safe),
+    ("brief-once", 1500, Effect::Unsafe),
+];
+
+impl Book {
+    fn new() -> Book {
+        let terms = |(_, aim, effect): &(&str, u64, Effect)| ClassTerms {
+            aim: Duration::from_millis(*aim),
+            effect: *effect,
+        };
+        let ledger = Ledger::new(CLASSES.iter().map(terms).collect(), Vec::new());
+        Book { ledger: Arc::new(Mutex::new(ledger)), start: Instant::now(), attempts: Arc::default() }
+    }
+
+    /// That of the present test.
+    pub fn of_this_test() -> Book {
+        BOOK.with(Book::clone)
+    }
+
+    fn note(&self, what: impl FnOnce(&mut Ledger, Duration)) {
+        let now = self.start.elapsed();
+        what(&mut self.ledger.lock().expect("lock"), now);
+    }
+
+    /// A request has come whole to a node; gives the attempt's number.
+    fn arrived(&self, request: &Http, node: usize) -> Option<u64> {
+        let request = number(request.header("x-request-id"))?;
+        let attempt = self.attempts.fetch_add(1, Ordering::SeqCst);
+        self.note(|ledger, now| {
+            let (first, whole, began, ended) = (now, Some(now), Some(now), None);
+            let (gateway, seconds) = (0, 0.0);
+            ledger.attempt(
+                request,
+                AttemptSeen { attempt, node, gateway, first, whole, began, ended, seconds },
+            );
+        });
+        Some(attempt)
+    }
+
+    fn ended(&self, attempt: Option<u64>, how: Ended) {
+        if let Some(attempt) = attempt {
+            self.note(|ledger, now| ledger.ended(attempt, now, how));
+        }
+    }
+
+    /// A client has written this; gives the number of the request, where it is just one.
+    fn asked(&self, text: &str) -> Option<u64> {
+        let value = |name: &str| text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "));
+        if text.matches("X-Request-ID: ").count() != 1 || text.matches(" HTTP/1.1").count() != 1 {
+            return None;
+        }
+        let request = number(value("X-Request-ID"))?;
+        let class = CLASSES.iter().position(|(name, ..)| Some(*name) == value("X-Priority-Class"))?;
+        let wait = value("X-Timeout")?;
+        let unit = if wait.ends_with('u') { 1e-6 } else { 1e-3 };
+        let wait: f64 = wait[..wait.len() - 1].parse().ok()?;
+        let wait = Duration::try_from_secs_f64(wait * unit).ok()?;
+        // A text that is sent again, with something else wrong in it, is one test's own affair.
+        let known = self.ledger.lock().expect("lock").of(request).is_some_and(|r| r.ask.is_some());
+        if known {
+            return None;
+        }
+        self.note(|ledger, at| ledger.asked(request, Ask { gateway: 0, class, at, until: at + wait }));
+        Some(request)
+    }
+
+    /// Holds what was seen against the rules. The limits are generous: threads come late on a busy machine, and each
+    /// test has its own say on what is quick. Requests that a test words itself, or several at a time, are not booked,
+    /// so that an attempt without one proves nothing here.
+    pub fn check(&self) {
+        let slack = Duration::from_secs(2);
+        let rules = Rules { slack, held_back: slack, ..Rules::sockets() };
+        let mut breaches = self.ledger.lock().expect("lock").breaches(rules);
+        breaches.retain(|b| b.rule != Rule::NobodyAsked);
+        assert!(breaches.is_empty(), "{breaches:#?}");
+    }
+}
+
+/// The program under test, and a folder for its files.
+#[derive(Clone, Copy, Debug)]
+pub struct Program {
+    /// Its path.
+    pub path: &'static str,
+    /// The folder.
+    pub folder: &'static str,
+}
+
 /// Waits until the condition holds.
 pub fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
     let start = Instant::now();
@@ -26,8 +142,11 @@
 /// A message of HTTP/1.1, either way.
 #[derive(Clone, Debug)]
 pub struct Http {
+    /// Its first line.
     pub first: String,
+    /// Its headers, names in lower case.
     pub headers: HashMap<String, String>,
+    /// Its body.
     pub body: Vec<u8>,
 }
 
@@ -51,10 +170,12 @@
         Some(Http { first, headers, body })
     }
 
+    /// The status of an answer.
     pub fn status(&self) -> u16 {
         self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status")
     }
 
+    /// The value of a header.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name).map(String::as_str)
     }
@@ -76,6 +197,7 @@
 }
 
 impl Reply {
+    /// An answer 200 with this body.
     pub fn ok(body: &str) -> Reply {
         Reply::Answer(200, "", body.as_bytes().to_vec())
     }
@@ -85,28 +207,37 @@
 
 /// A host. It remembers what it was sent.
 #[derive(Clone)]
-pub struct FakeHost {
+pub struct ScriptedNode {
+    /// Where it listens.
     pub address: SocketAddr,
+    /// What it was sent.
     pub seen: Arc<Mutex<Vec<Http>>>,
+    /// How often it was left while it said nothing.
     pub left: Arc<AtomicUsize>,
     /// How many raw replies have been written whole.
     pub raw: Arc<AtomicUsize>,
     release: Arc<AtomicBool>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
+    book: Book,
+    number: usize,
 }
 
-impl FakeHost {
-    pub fn start(behaviour: impl Fn(&Http) -> Reply + Send + Sync + 'static) -> FakeHost {
+impl ScriptedNode {
+    /// A node that treats each request as told.
+    pub fn start(behaviour: impl Fn(&Http) -> Reply + Send + Sync + 'static) -> ScriptedNode {
+        static NUMBER: AtomicUsize = AtomicUsize::new(0);
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let host = FakeHost {
+        let host = ScriptedNode {
             address: listener.local_addr().expect("an address"),
             seen: Arc::default(),
             left: Arc::default(),
             raw: Arc::default(),
             release: Arc::default(),
             connections: Arc::default(),
+            book: Book::of_this_test(),
+            number: NUMBER.fetch_add(1, Ordering::SeqCst),
         };
-        let (me, behaviour): (FakeHost, Arc<Behaviour>) = (host.clone(), Arc::new(behaviour));
+        let (me, behaviour): (ScriptedNode, Arc<Behaviour>) = (host.clone(), Arc::new(behaviour));
         spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (me, behaviour) = (me.clone(), behaviour.clone());
@@ -121,17 +252,25 @@
         let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
         while let Some(request) = Http::read(&mut reader) {
             let reply = behaviour(&request);
+            let attempt = self.book.arrived(&request, self.number);
             self.seen.lock().expect("lock").push(request);
             let (status, headers, body) = match reply {
                 Reply::Answer(status, headers, body) => (status, headers, body),
-                Reply::Break => break,
+                Reply::Break => {
+                    self.book.ended(attempt, Ended::Broken);
+                    break;
+                }
                 Reply::Half => {
+                    self.book.ended(attempt, Ended::Broken);
                     let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf");
                     break;
                 }
                 Reply::Hang => match self.hang(&stream) {
                     true => (200, "", b"released".to_vec()),
-                    false => break,
+                    false => {
+                        self.book.ended(attempt, Ended::Left);
+                        break;
+                    }
                 },
                 Reply::Raw(pieces) => {
                     for (n, piece) in pieces.iter().enumerate() {
@@ -139,9 +278,18 @@
                         let _ = stream.write_all(piece.as_bytes());
                     }
                     self.raw.fetch_add(1, Ordering::SeqCst);
+                    // What is in it may be anything: the gateway is through with it by now, or leaves.
+                    self.book.ended(attempt, Ended::Error);
                     continue;
                 }
             };
+            let never_ran = headers.contains("X-Not-Processed: 1");
+            let how = match status {
+                200 => Ended::Served,
+                _ if never_ran => Ended::TurnedAway,
+                _ => Ended::Error,
+            };
+            self.book.ended(attempt, how);
             let head = format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
             let _ = stream.write_all(&[head.as_bytes(), &body].concat());
         }
@@ -162,6 +310,7 @@
         true
     }
 
+    /// Has it answer whatever it has said nothing to.
     pub fn release(&self) {
         self.release.store(true, Ordering::SeqCst);
     }
@@ -178,6 +327,7 @@
         self.connections.lock().expect("lock").len()
     }
 
+    /// How many requests it was sent.
     pub fn count(&self) -> usize {
         self.seen.lock().expect("lock").len()
     }
@@ -188,6 +338,7 @@
     }
 }
 
+/// An entry of a list.
 pub fn entry(name: &str, address: &str, group: u32, status: &str) -> Value {
     json!({"name": name, "address": address, "zone": "a", "type": "m1", "group": group,
         "status": status, "weight": 1.0, "since_ms": 0})
@@ -203,22 +354,25 @@
 
 /// Discovery: a watch at a time, kept alive by empty lines until it is silenced.
 #[derive(Clone)]
-pub struct FakeDiscovery {
+pub struct ScriptedRegister {
+    /// Where it listens.
     pub address: SocketAddr,
     /// The request lines of all calls.
     pub calls: Arc<Mutex<Vec<String>>>,
+    /// While this is set it says nothing, and keeps its watches open.
     pub silent: Arc<AtomicBool>,
     /// How many watches the other side has ended.
     pub ended: Arc<AtomicUsize>,
     lines: Arc<Mutex<Vec<Sender<String>>>>,
 }
 
-impl FakeDiscovery {
-    pub fn start() -> FakeDiscovery {
+impl ScriptedRegister {
+    /// A register that lists nothing by itself.
+    pub fn start() -> ScriptedRegister {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
         let (calls, silent, ended, lines) = Default::default();
-        let discovery = FakeDiscovery { address, calls, silent, ended, lines };
+        let discovery = ScriptedRegister { address, calls, silent, ended, lines };
         let me = discovery.clone();
         spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -249,6 +403,7 @@
         }
     }
 
+    /// How many calls there have been.
     pub fn calls(&self) -> usize {
         self.calls.lock().expect("lock").len()
     }
@@ -287,31 +442,32 @@
 /// The gateway's process; killed with its test.
 pub struct Gateway {
     child: Child,
+    /// Where it takes requests.
     pub address: String,
 }
 
 /// Starts the built program on a configuration file with this text.
-pub fn spawn_gateway(name: &str, text: &str) -> Child {
-    command(name, text).spawn().expect("the built gateway")
+pub fn spawn_gateway(program: &Program, name: &str, text: &str) -> Child {
+    command(program, name, text).spawn().expect("the built gateway")
 }
 
-fn command(name: &str, text: &str) -> Command {
-    write_config(name, text);
-    let mut command = Command::new(env!("CARGO_BIN_EXE_ottervane-gateway"));
+fn command(program: &Program, name: &str, text: &str) -> Command {
+    write_config(program, name, text);
+    let mut command = Command::new(program.path);
     command.env_remove("ROUTER_LISTEN").env_remove("ROUTER_DISCOVERY");
-    command.env("ROUTER_CONFIG", config_path(name)).stderr(Stdio::piped());
+    command.env("ROUTER_CONFIG", config_path(program, name)).stderr(Stdio::piped());
     command
 }
 
-fn config_path(name: &str) -> String {
-    format!("{}/{name}.json", env!("CARGO_TARGET_TMPDIR"))
+fn config_path(program: &Program, name: &str) -> String {
+    format!("{}/{name}.json", program.folder)
 }
 
 /// Puts another file in the place of the configuration.
-pub fn write_config(name: &str, text: &str) {
-    let new = format!("{}.new", config_path(name));
+pub fn write_config(program: &Program, name: &str, text: &str) {
+    let new = format!("{}.new", config_path(program, name));
     std::fs::write(&new, text).expect("a file");
-    std::fs::rename(new, config_path(name)).expect("a file in its place");
+    std::fs::rename(new, config_path(program, name)).expect("a file in its place");
 }
 
 /// A configuration with this discovery, limit and known hosts.
@@ -323,14 +479,25 @@
 
 impl Gateway {
     /// Starts a gateway that knows these hosts, and waits until it is ready.
-    pub fn start(name: &str, discovery: &FakeDiscovery, sockets: usize, known: &[Value]) -> Gateway {
+    pub fn start(
+        program: &Program,
+        name: &str,
+        discovery: &ScriptedRegister,
+        sockets: usize,
+        known: &[Value],
+    ) -> Gateway {
         // The variable wins over the file at the start: nobody is at the file's address.
-        Gateway::start_with(name, discovery, &config("127.0.0.1:1", sockets, known))
+        Gateway::start_with(program, name, discovery, &config("127.0.0.1:1", sockets, known))
     }
 
     /// The same, with a configuration of its own.
-    pub fn start_with(name: &str, discovery: &FakeDiscovery, config: &Value) -> Gateway {
-        let mut command = command(name, &config.to_string());
+    pub fn start_with(
+        program: &Program,
+        name: &str,
+        discovery: &ScriptedRegister,
+        config: &Value,
+    ) -> Gateway {
+        let mut command = command(program, name, &config.to_string());
         command.env("ROUTER_DISCOVERY", discovery.address.to_string());
         let mut child = command.spawn().expect("the built gateway");
         let mut log = BufReader::new(child.stderr.take().expect("a log")).lines().map_while(Result::ok);
@@ -339,10 +506,11 @@
         Gateway { child, address: address.expect("an address in the log") }
     }
 
+    /// A client with a connection of its own.
     pub fn connect(&self) -> Client {
         let stream = TcpStream::connect(&self.address).expect("a connection");
         stream.set_read_timeout(Some(LONG)).expect("a time-out");
-        Client { reader: BufReader::new(stream) }
+        Client { reader: BufReader::new(stream), owed: VecDeque::new(), book: Book::of_this_test() }
     }
 
     /// A request on a connection of its own, and its answer.
@@ -350,11 +518,13 @@
         self.connect().ask(class)
     }
 
+    /// Sends it a signal, by its name without SIG.
     pub fn signal(&self, signal: &str) {
         let kill = Command::new("sh").arg("-c").arg(format!("kill -{signal} {}", self.child.id())).status();
         assert!(kill.expect("a shell").success());
     }
 
+    /// Waits for its end.
     pub fn wait(&mut self) -> ExitStatus {
         let start = Instant::now();
         loop {
@@ -371,12 +541,26 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if !std::thread::panicking() {
+            Book::of_this_test().check();
+        }
     }
 }
 
 /// A client's connection.
 pub struct Client {
     reader: BufReader<TcpStream>,
+    /// The requests that it has sent and that were not answered yet, where they are booked.
+    owed: VecDeque<Option<u64>>,
+    book: Book,
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        for request in self.owed.drain(..).flatten() {
+            self.book.note(|ledger, now| ledger.gave_up(request, now));
+        }
+    }
 }
 
 /// The text of a well-formed request of the class.
@@ -399,17 +583,37 @@
 impl Client {
     /// What can't be written for want of a connection gets no answer either.
     pub fn write(&mut self, text: &[u8]) {
+        let words = String::from_utf8_lossy(text);
+        if words.contains("X-Request-ID") {
+            self.owed.push_back(self.book.asked(&words));
+        }
         let _ = self.reader.get_mut().write_all(text);
     }
 
+    /// Sends a well-formed request of the class.
     pub fn send(&mut self, class: &str) {
         self.write(request(class).as_bytes());
     }
 
+    /// The next answer; none where the connection ends.
     pub fn read(&mut self) -> Option<Http> {
-        Http::read(&mut self.reader)
+        let answer = Http::read(&mut self.reader);
+        let status = answer.as_ref().map(Http::status);
+        if status.is_some_and(|s| s < 200) {
+            return answer;
+        }
+        if let Some(request) = self.owed.pop_front().flatten() {
+            self.book.note(|ledger, now| match status {
+                Some(200) => ledger.got(request, now, Got::Served),
+                Some(429 | 503) => ledger.got(request, now, Got::Refused),
+                Some(_) => ledger.got(request, now, Got::Failed),
+                None => ledger.lost(request, now),
+            });
+        }
+        answer
     }
 
+    /// The same, and reads the answer.
     pub fn ask(&mut self, class: &str) -> Http {
         self.send(class);
         self.read().expect("an answer")
--- a/crates/rig/tests/ledger.rs
+++ b/crates/rig/tests/ledger.rs
@@ -41,7 +41,8 @@
 
 #[test]
 fn one_answer_in_time() {
-    let cases: [(&[(u64, Got)], &[Rule]); 6] = [
+    type Case = (&'static [(u64, Got)], &'static [Rule]);
+    let cases: [Case; 6] = [
         (&[(200, Got::Served)], &[]),
         (&[(1009, Got::Served)], &[]),
         (&[(1011, Got::Served)], &[Rule::Unanswered]),
