--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -221,3 +221,18 @@
     let tenants: Vec<_> = script.tenants.iter().map(|t| t.name.clone()).collect();
     Service::count(tallies, &classes, &tenants)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_machine_that_was_too_busy_gives_no_figure() {
+        let quick = Lateness { late_share: 0.019, p99_ms: 3.0, longest_stall_ms: 400.0 };
+        assert_eq!(quick.too_busy(), None);
+        let late = Lateness { late_share: 0.021, ..quick };
+        assert!(late.too_busy().is_some_and(|why| why.contains("2.1% of the requests")));
+        let stalled = Lateness { longest_stall_ms: 501.0, ..quick };
+        assert!(stalled.too_busy().is_some_and(|why| why.contains("501 ms")));
+    }
+}
--- a/crates/rig/tests/mutants.rs
+++ b/crates/rig/tests/mutants.rs
@@ -5,6 +5,7 @@
 use ottervane_rig::live::gateways::{RunningGateway, StartGateway, Starting, Stopping};
 use ottervane_rig::live::http::{Connection, First, Kind, Message};
 use ottervane_rig::replay::replay;
+use ottervane_rig::report::Report;
 use ottervane_rig::script::Script;
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
@@ -197,8 +198,12 @@
     }
 }
 
-/// What the ledger finds in three seconds of a gateway with this fault.
+/// What the ledger finds in a few seconds of a gateway with this fault.
 fn found(fault: Fault, lasts: &str, event: &str) -> BTreeSet<Rule> {
+    played(fault, lasts, event).breaches.iter().map(|b| b.rule).collect()
+}
+
+fn played(fault: Fault, lasts: &str, event: &str) -> Report {
     let text = format!(
         r#"
         name = "mutant"
@@ -208,6 +213,8 @@
         nodes = 6
         rack = 1
         error_rate = 0.0
+        cold_from = 0.02
+        cold_for = "60s"
         [load]
         rate = 25
         [clients]
@@ -233,10 +240,11 @@
     let script = Script::parse("mutant.toml", &text).expect("a script");
     let (report, _) = replay(&script, 5, None, &Mutant(fault), &|_, _, _| {}).expect("a run");
     assert!(report.counts.asked > 30, "{:?}", report.counts);
-    report.breaches.iter().map(|b| b.rule).collect()
+    report
 }
 
 const FAILING: &str = "[[event]]\nat = \"200ms\"\nwhat = \"fail\"\npart = 0.5\nshare = 1.0";
+const RESTARTING: &str = "[[event]]\nat = \"200ms\"\nwhat = \"restart\"\nnodes = [\"n01\"]\ngone = \"100ms\"";
 const DRAINING: &str = "[[event]]\nat = \"200ms\"\nwhat = \"drain\"\nnodes = [\"n01\"]";
 
 fn only(rule: Rule) -> BTreeSet<Rule> {
@@ -297,3 +305,13 @@
 fn finds_what_is_never_answered() {
     assert_eq!(found(Fault::NeverAnswers, "1500ms", ""), only(Rule::Unanswered));
 }
+
+#[test]
+fn finds_a_cold_node_that_is_pushed_over_and_it_stays_down() {
+    let report = played(Fault::None, "4s", RESTARTING);
+    let rules: BTreeSet<Rule> = report.breaches.iter().map(|b| b.rule).collect();
+    assert_eq!(rules, only(Rule::PushedOver), "{}", report.to_text());
+    assert_eq!((report.breaches[0].node, report.counts.fallen), (Some(1), 1));
+    let last = report.timeline.last().expect("a timeline");
+    assert_eq!((last.down, last.warm), (1, 5), "it is down to the end");
+}
