--- a/crates/rig/src/timeline.rs
+++ b/crates/rig/src/timeline.rs
@@ -51,7 +51,7 @@
     let most = samples.iter().flat_map(|s| curves.iter().map(|(_, _, of)| of(s))).fold(1.0, f64::max);
     let mut chart = ChartBuilder::on(area)
         .margin(8)
-        .x_label_area_size(22)
+        .x_label_area_size(32)
         .y_label_area_size(50)
         .build_cartesian_2d(0.0..end(samples), 0.0..most * 1.1)?;
     chart.configure_mesh().light_line_style(TRANSPARENT).x_desc("s").draw()?;
@@ -79,7 +79,7 @@
     let most = samples.iter().map(bands[0].2).fold(1.0, f64::max);
     let mut chart = ChartBuilder::on(area)
         .margin(8)
-        .x_label_area_size(22)
+        .x_label_area_size(32)
         .y_label_area_size(50)
         .build_cartesian_2d(0.0..end(samples), 0.0..most * 1.05)?;
     chart.configure_mesh().disable_mesh().x_desc("s").y_desc("nodes").draw()?;
