Begin storm control: notice a retry storm, allow by budget and worth, spread the return

When a data centre returns, clients retry all at once; nothing told a storm from load, and who heeds the fixed advice comes back in step.

Memory is fixed. It is wired into the gateway ([storm] in the operator's file) and into simulate, off by default: simulate plays decisions in process, so the rig now depends on ottervane-control too.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,4 +1,6 @@
 //! The decisions of the gateway's subsystems, beside the choice of a node, which is the decision module's.
 //!
 //! Each subsystem brings a module of its own here. None does any I/O: the time comes in as a [`std::time::Duration`],
-//! events come in, actions go out, and what is random comes from a seed. There is none yet.
+//! events come in, actions go out, and what is random comes from a seed.
+
+pub mod storm;
--- /dev/null
+++ b/crates/control/tests/storm.rs
@@ -0,0 +1,247 @@
+//! Storm control in virtual time: when it says storm, what it allows, and what it promises.
+
+use ottervane_control::storm::{
+    Answered, Arriving, Budget, Host, Promise, Promised, Reason, Returns, Seen, State, Storm, StormSettings,
+};
+use proptest::prelude::*;
+use std::time::Duration;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+const MOST: Duration = Duration::from_millis(1200);
+
+fn storm() -> Storm {
+    let mut storm = Storm::new(StormSettings::default(), 0.2, ms(10_000), MOST, 1);
+    storm.hosts(ms(0), &[Host { started: None }; 10]);
+    storm
+}
+
+fn arriving(repeat: bool, identity: u64) -> Arriving {
+    Arriving { repeat, identity: Some(identity), worth: 1.0, in_share: true }
+}
+
+/// A day's stretch at 200 requests a second: of each ten arrivals so many are repeats, and so many are not served.
+fn stretch(storm: &mut Storm, from: u64, until: u64, repeats: u64, unserved: u64) -> Vec<State> {
+    let mut states = Vec::new();
+    for (n, at) in (from..until).step_by(5).enumerate() {
+        let (now, n) = (ms(at), n as u64);
+        storm.arrive(now, arriving(n % 10 < repeats, at));
+        let how = if n % 10 < unserved { Answered::Refused } else { Answered::Served };
+        storm.answered(now, how);
+        if how == Answered::Refused {
+            storm.refuse(now, Some(at), MOST);
+        }
+        if states.last() != Some(&storm.state()) {
+            states.push(storm.state());
+        }
+    }
+    states
+}
+
+#[test]
+fn a_peak_that_is_served_is_no_storm_and_costs_nothing() {
+    let mut storm = storm();
+    for at in (0..20_000).step_by(1) {
+        let allowed = storm.arrive(ms(at), arriving(at % 20 == 0, at));
+        assert_eq!((allowed.part, allowed.reason), (1.0, Reason::Calm));
+        storm.answered(ms(at), if at % 20 == 0 { Answered::Refused } else { Answered::Served });
+    }
+    assert_eq!(storm.state(), State::Calm);
+    assert_eq!(storm.refuse(ms(20_000), Some(1), MOST), MOST, "the module's own advice");
+}
+
+#[test]
+fn neither_repeats_alone_nor_failures_alone_are_a_storm() {
+    assert_eq!(stretch(&mut storm(), 0, 10_000, 5, 0), [State::Calm]);
+    assert_eq!(stretch(&mut storm(), 0, 10_000, 0, 5), [State::Calm]);
+}
+
+#[test]
+fn goes_through_its_states_and_back_and_through_a_second_outage() {
+    let mut storm = storm();
+    assert_eq!(stretch(&mut storm, 0, 5000, 0, 0), [State::Calm]);
+    assert_eq!(stretch(&mut storm, 5000, 12_000, 5, 5), [State::Calm, State::Suspected, State::Storm]);
+    assert_eq!(stretch(&mut storm, 12_000, 20_000, 0, 0), [State::Storm, State::Recovering]);
+    // A second outage in the recovery is met at once, without a second look.
+    assert_eq!(stretch(&mut storm, 20_000, 24_000, 5, 5), [State::Recovering, State::Storm]);
+    let back = stretch(&mut storm, 24_000, 45_000, 0, 0);
+    assert_eq!(back, [State::Storm, State::Recovering, State::Calm]);
+}
+
+#[test]
+fn an_outage_shorter_than_the_second_look_changes_nothing() {
+    let mut storm = storm();
+    stretch(&mut storm, 0, 5000, 0, 0);
+    let states = stretch(&mut storm, 5000, 5300, 5, 5);
+    assert!(!states.contains(&State::Storm), "{states:?}");
+    assert_eq!(*stretch(&mut storm, 5300, 8000, 0, 0).last().expect("a state"), State::Calm);
+}
+
+#[test]
+fn a_figure_at_the_edge_changes_nothing_back_and_forth() {
+    let mut storm = storm();
+    stretch(&mut storm, 0, 3000, 0, 0);
+    stretch(&mut storm, 3000, 8000, 5, 5);
+    assert_eq!(storm.state(), State::Storm);
+    // A tenth of repeats lies under the limit that begins a storm and over the one that ends it.
+    assert_eq!(stretch(&mut storm, 8000, 30_000, 1, 1), [State::Storm]);
+}
+
+#[test]
+fn each_change_is_told_once_with_its_figures() {
+    let mut storm = storm();
+    stretch(&mut storm, 0, 3000, 0, 0);
+    stretch(&mut storm, 3000, 8000, 5, 5);
+    let change = storm.take_change().expect("the last change");
+    assert_eq!((change.from, change.to), (State::Suspected, State::Storm));
+    assert!(change.signals.marked > 0.12 && change.signals.unserved > 0.12);
+    assert!(change.to_string().contains("Suspected to Storm"), "{change}");
+    assert!(storm.take_change().is_none());
+}
+
+#[test]
+fn first_tries_go_before_repeats_and_kept_promises_before_broken_ones() {
+    let mut storm = storm();
+    stretch(&mut storm, 0, 3000, 0, 0);
+    stretch(&mut storm, 3000, 8000, 5, 5);
+    assert_eq!(storm.arrive(ms(8000), arriving(false, 1)).reason, Reason::First);
+    // Whatever is left of the budget is spent.
+    while storm.arrive(ms(8000), arriving(true, 2)).reason == Reason::Budgeted {}
+    let unpaid = storm.arrive(ms(8000), arriving(true, 3));
+    assert_eq!((unpaid.reason, unpaid.part), (Reason::Unpaid, 0.5));
+    // Two seconds on, the places that were given away are past. Some are given away anew.
+    let after = (0..40).map(|n| storm.refuse(ms(10_000), Some(70 + n), MOST)).nth(7).expect("an eighth");
+    assert!(after > ms(60) && after <= MOST, "{after:?}");
+    let early = storm.arrive(ms(10_000) + after / 3, arriving(true, 77));
+    assert_eq!(early.reason, Reason::Unpaid, "it was told to come at {after:?}");
+    assert_eq!(storm.arrive(ms(10_000) + after, arriving(true, 77)).reason, Reason::OnTime);
+    assert_eq!(storm.arrive(ms(10_001) + after, arriving(true, 77)).reason, Reason::Unpaid, "good once");
+    let worth = storm.arrive(ms(12_000), Arriving { worth: 4.0, ..arriving(false, 5) }).part;
+    let poor = storm.arrive(ms(12_000), Arriving { worth: 0.5, ..arriving(false, 6) }).part;
+    assert!(worth > poor && worth <= 1.5, "{worth} against {poor}");
+    let beyond = storm.arrive(ms(12_000), Arriving { in_share: false, ..arriving(false, 7) }).part;
+    assert_eq!(beyond, 0.7);
+}
+
+#[test]
+fn says_nothing_where_clients_are_told_nothing() {
+    let mut storm = storm();
+    stretch(&mut storm, 0, 3000, 0, 0);
+    stretch(&mut storm, 3000, 8000, 5, 5);
+    assert_eq!(storm.refuse(ms(8000), Some(1), Duration::ZERO), Duration::ZERO);
+}
+
+#[test]
+fn promises_what_cold_hosts_will_be_able_to_do() {
+    let mut returns = Returns::new(0.2, ms(10_000), Duration::from_secs(60), 1);
+    // Four warm hosts serve 40 a second while others are refused.
+    returns.hosts(ms(0), &[Host { started: None }; 4]);
+    for at in (0..20_000).step_by(25) {
+        returns.answered(ms(at), Answered::Served);
+        returns.answered(ms(at), Answered::Refused);
+    }
+    let now = ms(20_000);
+    let at_rest = returns.capacity(now);
+    assert!((36.0..44.0).contains(&at_rest), "{at_rest} a second");
+    // Four more have just started.
+    let cold = Host { started: Some(now) };
+    let warm = Host { started: None };
+    returns.hosts(now, &[warm, warm, warm, warm, cold, cold, cold, cold]);
+    let (soon, later) = (returns.capacity(now), returns.capacity(now + ms(10_000)));
+    assert!((soon / at_rest - 1.2).abs() < 1e-6 && (later / at_rest - 2.0).abs() < 1e-6, "{soon}, {later}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// No schedule of tries spends what was not earned.
+    #[test]
+    fn a_budget_is_never_negative(tries in proptest::collection::vec(any::<bool>(), 0..2000), each in 0.0..2.0f64) {
+        let mut budget = Budget::new(each, 10.0);
+        let (mut earned, mut spent) = (10.0, 0.0);
+        for first in tries {
+            if first {
+                budget.earn();
+                earned += each;
+            } else if budget.spend() {
+                spent += 1.0;
+            }
+            prop_assert!(budget.left() >= 0.0 && budget.left() <= 10.0);
+            prop_assert!(spent <= earned + 1e-6);
+        }
+    }
+
+    /// Within any second no more returns are promised than hosts can do then, whenever refusals come.
+    #[test]
+    fn promises_stay_under_the_capacity(refusals in proptest::collection::vec(0u64..40, 1..600), hosts in 1usize..12,
+        rate in 5u64..200) {
+        let mut returns = Returns::new(0.2, ms(5000), Duration::from_secs(20), 3);
+        returns.hosts(ms(0), &vec![Host { started: None }; hosts]);
+        for n in 0..rate * 10 {
+            returns.answered(ms(n * 1000 / rate), Answered::Served);
+            returns.answered(ms(n * 1000 / rate), Answered::Refused);
+        }
+        let mut now = ms(10_000);
+        let capacity = returns.capacity(now);
+        let mut promised = Vec::new();
+        for gap in refusals {
+            now += ms(gap);
+            let Promise { after, counted } = returns.promise(now);
+            prop_assert!(after <= Duration::from_secs(20));
+            if counted {
+                promised.push((now + after).as_secs_f64());
+            }
+        }
+        promised.sort_by(f64::total_cmp);
+        for (n, from) in promised.iter().enumerate() {
+            let within = promised[n..].iter().take_while(|at| **at < from + 1.0).count() as f64;
+            // Jitter moves a promise by a tenth of its distance, so some of the next second's may fall into this one.
+            let most = capacity * 1.3 + 2.0 + 0.1 * capacity * (from - 10.0).max(0.0);
+            prop_assert!(within <= most, "{within} promised within a second where {capacity} fit");
+        }
+    }
+
+    /// Whatever comes, in whatever order and also where the clock seems to run back, allowances and advice stay in
+    /// their bounds.
+    #[test]
+    fn allowances_and_advice_stay_in_bounds(steps in proptest::collection::vec(
+        (0u64..3000, 0u8..6, any::<u64>(), 0.0..20.0f64, any::<bool>()), 1..400)) {
+        let mut storm = storm();
+        let mut now = 1000i64;
+        for (n, (gap, what, identity, worth, flag)) in steps.into_iter().enumerate() {
+            now = (now + if n % 50 == 49 { -(gap as i64) } else { gap as i64 / 20 }).max(0);
+            let at = ms(now as u64);
+            match what {
+                0 | 1 => {
+                    let arriving = Arriving { repeat: flag, identity: Some(identity % 9), worth, in_share: flag };
+                    let part = storm.arrive(at, arriving).part;
+                    prop_assert!((0.0..=1.5).contains(&part), "{part}");
+                }
+                2 => storm.answered(at, Answered::Refused),
+                3 => storm.answered(at, if flag { Answered::Served } else { Answered::Failed }),
+                4 => {
+                    let advice = storm.refuse(at, Some(identity % 9), MOST);
+                    prop_assert!(advice > Duration::ZERO && advice <= MOST, "{advice:?}");
+                }
+                _ => storm.hosts(at, &vec![Host { started: flag.then_some(at) }; (identity % 9) as usize]),
+            }
+        }
+    }
+}
+
+/// A million clients leave no more behind than a thousand do: the tables have their size from the start.
+#[test]
+fn a_million_keys_fit_in_the_same_places() {
+    let (mut seen, mut promised) = (Seen::new(ms(2000), 4096), Promised::new(4096));
+    let size = |seen: &Seen, promised: &Promised| format!("{seen:?}{promised:?}").matches("), (").count();
+    let before = size(&seen, &promised);
+    for key in 1..=1_000_000u64 {
+        assert!(!seen.meet(ms(key / 100), key), "{key} was never met");
+        promised.give(key, ms(key / 100));
+    }
+    assert!(seen.meet(ms(10_000), 1_000_000));
+    assert!(promised.keep(ms(10_000), 1_000_000));
+    assert_eq!(size(&seen, &promised), before);
+}
--- a/crates/gateway/src/config/operator.rs
+++ b/crates/gateway/src/config/operator.rs
@@ -1,5 +1,6 @@
 //! The operator's file: a table for each subsystem. One with no table is off and costs nothing.
 
+use ottervane_control::storm::StormSettings;
 use ottervane_settings::{Document, Problems};
 use std::path::Path;
 
@@ -19,9 +20,12 @@
     Wrong(#[from] Problems),
 }
 
-/// What the operators want. No subsystem has settings yet, so any key is a mistake.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Operator {}
+/// What the operators want.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Operator {
+    /// Storm control, where it is on.
+    pub storm: Option<StormSettings>,
+}
 
 impl Operator {
     /// Reads the file.
@@ -41,8 +45,10 @@
     /// All that is wrong with it, each with its line and key.
     pub fn parse(file: &str, text: &str) -> Result<Operator, Problems> {
         let document = Document::parse(file, text)?;
-        document.root().finish();
-        document.check(Operator {})
+        let root = document.root();
+        let storm = root.table("storm").map(|table| StormSettings::read(&table));
+        root.finish();
+        document.check(Operator { storm })
     }
 }
 
@@ -54,6 +60,8 @@
     fn the_shipped_file_is_as_it_should_be_and_unknown_tables_are_told() {
         let shipped = include_str!("../../../../deploy/gateway.toml");
         assert_eq!(Operator::parse("gateway.toml", shipped).expect("the shipped file"), Operator::default());
+        let on = Operator::parse("g.toml", "[storm]\nbudget = 0.2\n").expect("a table for storms");
+        assert_eq!(on.storm, Some(StormSettings { budget: 0.2, ..StormSettings::default() }));
         let problems = Operator::parse("g.toml", "x = 1\n\n[tsl]\n").expect_err("two keys that nobody knows");
         let places: Vec<_> = problems.list.iter().map(|p| (p.line, p.key.as_str())).collect();
         assert_eq!(places, [(1, "x"), (3, "tsl")]);
--- a/crates/gateway/src/core/messages.rs
+++ b/crates/gateway/src/core/messages.rs
@@ -47,6 +47,8 @@
 pub enum Message {
     /// A client's request.
     Arrived(Box<Arrival>),
+    /// A connection has been accepted; told where somebody counts them.
+    Connected,
     /// The client has gone.
     Gone(RequestId),
     /// An attempt has ended.
@@ -84,6 +86,7 @@
     messages: mpsc::UnboundedSender<Message>,
     requests: Rc<Cell<u64>>,
     hosts_up: Rc<Cell<bool>>,
+    connections: Rc<Cell<bool>>,
     clock: Clock,
 }
 
@@ -91,8 +94,8 @@
     /// A handle, and what is told through it and its clones.
     pub fn new() -> (Handle, mpsc::UnboundedReceiver<Message>) {
         let (sender, messages) = mpsc::unbounded_channel();
-        let (requests, hosts_up) = Default::default();
-        (Handle { messages: sender, requests, hosts_up, clock: Clock::new() }, messages)
+        let (requests, hosts_up, connections) = Default::default();
+        (Handle { messages: sender, requests, hosts_up, connections, clock: Clock::new() }, messages)
     }
 
     /// Tells the gateway something. Once it is gone the process ends, and nobody is left to be told.
@@ -100,6 +103,18 @@
         let _ = self.messages.send(message);
     }
 
+    /// From now on the gateway is told of every connection.
+    pub fn count_connections(&self) {
+        self.connections.set(true);
+    }
+
+    /// A connection has been accepted.
+    pub fn connected(&self) {
+        if self.connections.get() {
+            self.tell(Message::Connected);
+        }
+    }
+
     /// A number for a new request.
     pub fn next_request(&self) -> RequestId {
         self.requests.set(self.requests.get() + 1);
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -12,6 +12,7 @@
 use hyper::StatusCode;
 use messages::{Arrival, Final, Handle, Message};
 use ottervane::{Action, Balancer, Event, HostId, HostState, Outcome, RequestId, Settings};
+use ottervane_control::storm::{Answered, Arriving, Storm, StormSettings};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::Cell;
 use std::cmp::Reverse;
@@ -27,6 +28,7 @@
 /// A request that is open or has an attempt out.
 struct Entry {
     number: HeaderValue,
+    identity: Option<u64>,
     forward: Rc<Forward>,
     answer: Option<oneshot::Sender<Final>>,
     open: Rc<Cell<bool>>,
@@ -46,6 +48,12 @@
     }
 }
 
+/// What tells a request from the others: its client's retry is about the same subject.
+fn identity(request: &ottervane::Request) -> Option<u64> {
+    let place = (request.class as u64) << 32 | request.tenant as u64;
+    request.key.map(|key| ottervane::mix(key) ^ ottervane::mix(place))
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Timer {
     Module(u64),
@@ -89,6 +97,7 @@
     timers: BinaryHeap<Reverse<(Instant, Timer)>>,
     messages: mpsc::UnboundedReceiver<Message>,
     handle: Handle,
+    storm: Option<Storm>,
 }
 
 impl Gateway {
@@ -120,10 +129,61 @@
             timers: BinaryHeap::new(),
             messages,
             handle: handle.clone(),
+            storm: None,
         };
         (gateway, handle)
     }
 
+    /// Switches storm control on.
+    pub fn control_storms(&mut self, storms: StormSettings) {
+        let set = &self.settings;
+        let storm = Storm::new(storms, set.cold_from, set.cold_for, set.max_keep_away, self.seed);
+        self.storm = Some(storm);
+        self.handle.count_connections();
+    }
+
+    /// What storm control allows a request.
+    fn allowance(&mut self, request: &ottervane::Request) -> f64 {
+        let Some(storm) = &mut self.storm else { return 1.0 };
+        let worths = self.settings.classes.iter().map(|c| c.worth);
+        let mean = worths.sum::<f64>() / self.settings.classes.len().max(1) as f64;
+        let worth = self.settings.classes.get(request.class).map_or(1.0, |c| c.worth / mean.max(1e-9));
+        // Shares are counted by the service as a whole; one gateway sees a part, so none is held against a tenant.
+        let arriving =
+            Arriving { repeat: request.repeat, identity: identity(request), worth, in_share: true };
+        let part = storm.arrive(self.handle.time(Instant::now()), arriving).part;
+        self.tell_storm();
+        part
+    }
+
+    /// Tells storm control how a request was answered; gives the answer with the advice that goes with it.
+    fn weather(&mut self, identity: Option<u64>, answer: Final) -> Final {
+        let Some(storm) = &mut self.storm else { return answer };
+        let now = self.handle.time(Instant::now());
+        let answer = match answer {
+            Final::Served(_) => {
+                storm.answered(now, Answered::Served);
+                answer
+            }
+            Final::Failed(_) => {
+                storm.answered(now, Answered::Failed);
+                answer
+            }
+            Final::Refused { keep_away } => {
+                storm.answered(now, Answered::Refused);
+                Final::Refused { keep_away: storm.refuse(now, identity, keep_away) }
+            }
+        };
+        self.tell_storm();
+        answer
+    }
+
+    fn tell_storm(&mut self) {
+        if let Some(change) = self.storm.as_mut().and_then(Storm::take_change) {
+            eprintln!("{change}");
+        }
+    }
+
     /// Runs for as long as the process does.
     pub async fn run(mut self) {
         loop {
@@ -159,9 +219,10 @@
 
     /// Answers what the module has left unanswered until the last moment.
     fn backstop(&mut self, id: RequestId) {
-        let Some(entry) = self.requests.get_mut(&id).filter(|e| e.answer.is_some()) else { return };
-        entry.finish(Final::Failed(StatusCode::GATEWAY_TIMEOUT));
-        self.abandon(id);
+        if self.requests.get(&id).is_some_and(|e| e.answer.is_some()) {
+            self.answer(id, Final::Failed(StatusCode::GATEWAY_TIMEOUT));
+            self.abandon(id);
+        }
     }
 
     /// Tells the module that a request is over without its doing.
@@ -172,8 +233,13 @@
 
     fn take(&mut self, message: Message) {
         match message {
+            Message::Connected => {
+                if let Some(storm) = &mut self.storm {
+                    storm.connected(self.handle.time(Instant::now()));
+                }
+            }
             Message::Arrived(arrival) => {
-                let Arrival { request, number, forward, answer, open } = *arrival;
+                let Arrival { mut request, number, forward, answer, open } = *arrival;
                 if !self.numbers.insert(number.clone()) {
                     // A host could not tell it from a second copy of the request that has this number.
                     open.set(false);
@@ -181,12 +247,16 @@
                     return;
                 }
                 let give_up = self.handle.instant(request.give_up_at);
+                request.allowance = self.allowance(&request);
+                let identity = identity(&request);
                 let (forward, answer) = (Rc::new(forward), Some(answer));
                 let (attempts, out, last) = (Vec::new(), 0, Outcome::NotSent);
                 self.timers.push(Reverse((give_up, Timer::Backstop(request.id))));
                 let id = request.id;
-                self.requests
-                    .insert(id, Entry { number, forward, answer, open, give_up, attempts, out, last });
+                self.requests.insert(
+                    id,
+                    Entry { number, identity, forward, answer, open, give_up, attempts, out, last },
+                );
                 self.decide(Event::Request(request));
                 self.forget_if_done(id);
             }
@@ -202,8 +272,9 @@
                 entry.out -= 1;
                 entry.last = outcome;
                 if let Some(answer) = answer {
-                    entry.finish(Final::Served(answer));
+                    self.answer(request, Final::Served(answer));
                 }
+                let Some(entry) = self.requests.get(&request) else { return };
                 let (latency, over) = (sent.elapsed(), entry.answer.is_none());
                 self.decide(Event::Outcome { request, attempt, latency, outcome, over });
                 self.forget_if_done(request);
@@ -256,6 +327,11 @@
                 None => self.listed.push(host.clone()),
             }
         }
+        if let Some(storm) = &mut self.storm {
+            let up = self.listed.iter().filter(|h| h.state == HostState::Up);
+            let up: Vec<_> = up.map(|h| ottervane_control::storm::Host { started: h.started }).collect();
+            storm.hosts(self.handle.time(Instant::now()), &up);
+        }
         self.pool.keep(|id| self.hosts.get(id.0 as usize).is_some_and(|h| h.takes_work.get()));
         self.handle.set_hosts_up(self.hosts.iter().any(|h| h.takes_work.get()));
         self.decide(Event::Hosts { full: list.snapshot, hosts: &news });
@@ -382,10 +458,17 @@
     }
 
     fn finish(&mut self, id: RequestId, answer: Final) {
+        self.answer(id, answer);
+        self.forget_if_done(id);
+    }
+
+    /// Gives the final answer, unless it was given.
+    fn answer(&mut self, id: RequestId, answer: Final) {
+        let Some(entry) = self.requests.get(&id).filter(|e| e.answer.is_some()) else { return };
+        let answer = self.weather(entry.identity, answer);
         if let Some(entry) = self.requests.get_mut(&id) {
             entry.finish(answer);
         }
-        self.forget_if_done(id);
     }
 
     fn send(&mut self, id: RequestId, host: HostId, until: Duration) {
--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -1,5 +1,6 @@
 //! The process: start, wiring, reload, and the way out.
 
+use crate::config::operator::Operator;
 use crate::config::platform::Config;
 use crate::core::messages::{Handle, Message};
 use crate::core::Gateway;
@@ -40,7 +41,7 @@
 ///
 /// # Errors
 /// Where it can't start, or has ended without being told to.
-pub async fn serve() -> Result<(), Box<dyn Error>> {
+pub async fn serve(operator: Operator) -> Result<(), Box<dyn Error>> {
     // Before anything else: by default either signal ends the process.
     let (mut terminate, hang_up) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
     let config = Config::at_start()?;
@@ -49,6 +50,9 @@
     let pool = Rc::new(Pool::new(budget.hosts.clone(), config.dial_timeout, config.keepalive));
     let (mut gateway, handle) =
         Gateway::new(config.settings, config.seed, names.clone(), pool.clone(), config.discovery);
+    if let Some(settings) = operator.storm {
+        gateway.control_storms(settings);
+    }
     let listener = listen(config.listen)?;
     gateway.learn(config.known);
     let reloading = reload(hang_up, handle.clone());
--- a/crates/gateway/src/listeners/http.rs
+++ b/crates/gateway/src/listeners/http.rs
@@ -226,6 +226,7 @@
 
     fn welcome(self: &Rc<Self>, stream: TcpStream, slot: Slot) {
         self.accepted.set(Instant::now());
+        self.gateway.connected();
         let _ = stream.set_nodelay(true);
         let (wire, marks) = Wire::new(stream);
         let now = Some(Instant::now());
@@ -497,6 +498,7 @@
             key: subject(headers).map(stable_hash),
             cost_hint: cost,
             repeat: text(headers, "x-retried") == Some("1"),
+            allowance: 1.0,
             give_up_at: self.gateway.time(give_up),
         };
         let by = give_up.min(Instant::now() + BODY);
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -46,11 +46,9 @@
 }
 
 fn run(settings: Option<&Path>) -> Result<(), Box<dyn Error>> {
-    if let Some(file) = settings {
-        Operator::read(file)?;
-    }
+    let operator = settings.map_or_else(|| Ok(Operator::default()), Operator::read)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, daemon::serve())
+    LocalSet::new().block_on(&runtime, daemon::serve(operator))
 }
 
 fn main() -> ExitCode {
--- a/crates/gateway/tests/replay.rs
+++ b/crates/gateway/tests/replay.rs
@@ -7,11 +7,11 @@
 use ottervane_rig::script::Script;
 use std::path::PathBuf;
 
-fn played(name: &str, text: &str) -> Report {
+fn played(name: &str, text: &str, settings: Option<PathBuf>) -> Report {
     let script = Script::parse(name, text).unwrap_or_else(|problems| panic!("{problems}"));
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("replay-{name}"));
     std::fs::create_dir_all(&folder).expect("a folder");
-    let start = Program { path: PathBuf::from(env!("CARGO_BIN_EXE_ottervane-gateway")), folder };
+    let start = Program { path: PathBuf::from(env!("CARGO_BIN_EXE_ottervane-gateway")), folder, settings };
     let (report, _) = replay(&script, 2, None, &start, &|_, _, _| {}).expect("a run");
     assert_eq!(report.breaches, [], "{}", report.to_text());
     report
@@ -58,7 +58,7 @@
         "name = \"{name}\"\nlasts = \"5s\"\n[fleet]\ngateways = 2\nnodes = 8\nrack = 2\n[load]\nrate = 80\n\
          [register]\nnotice = [\"200ms\", \"400ms\"]\nsilent_notice = [\"500ms\", \"800ms\"]\n"
     );
-    played(name, &format!("{head}{CLASSES}{events}"))
+    played(name, &format!("{head}{CLASSES}{events}"), None)
 }
 
 #[test]
@@ -101,3 +101,20 @@
     let report = day("register", events);
     assert!(service(&report).is_none_or(|s| s > 0.85), "{}", report.to_text());
 }
+
+/// Storm control works within the same rules, on a day that is all storm: half of the nodes are gone, and every
+/// client tries again three times.
+#[test]
+fn keeps_the_rules_with_storm_control_in_a_storm() {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let file = folder.join("storm.toml");
+    std::fs::write(&file, "[storm]\nconfirm = \"100ms\"\nwindow = \"500ms\"\n").expect("a file");
+    let text = format!(
+        "name = \"storm\"\nlasts = \"6s\"\n[fleet]\ngateways = 2\nnodes = 4\nrack = 1\ncores = 1\nslots = 4\n\
+         key_gain = 0.0\n[load]\nrate = 200\n[clients]\nretries = 3\nwait = \"10ms\"\nheed = 0.5\n[limits]\nretry_after = \"1s\"\n{CLASSES}\
+         [[event]]\nat = \"1s\"\nlasts = \"2s\"\nwhat = \"kill\"\nzone = \"zona-nord\"\n"
+    );
+    let report = played("storm", &text, Some(file));
+    assert!(report.counts.refused > 100, "{}", report.to_text());
+    assert_eq!(report.counts.fallen, 0, "{}", report.to_text());
+}
--- a/crates/rig/src/client.rs
+++ b/crates/rig/src/client.rs
@@ -5,6 +5,9 @@
 use ottervane::{Effect, Group};
 use std::time::Duration;
 
+/// Nobody asks again with less time left than an answer needs on its way.
+const LEAST: Duration = Duration::from_millis(50);
+
 /// How a try ended, as its client saw it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Seen {
@@ -48,7 +51,7 @@
         _ => script.clients.wait,
     };
     let at = now + wait;
-    (harmless && tries <= script.clients.retries && at < until).then_some(at)
+    (harmless && tries <= script.clients.retries && at + LEAST < until).then_some(at)
 }
 
 /// How long a try that is sent at `now` is waited for.
--- a/crates/rig/src/draws.rs
+++ b/crates/rig/src/draws.rs
@@ -40,6 +40,8 @@
     Gateway = 13,
     /// A request's number.
     Number = 14,
+    /// The jitter of a gateway's advice.
+    Advice = 15,
 }
 
 /// All draws of a run.
--- a/crates/rig/src/live/gateways.rs
+++ b/crates/rig/src/live/gateways.rs
@@ -5,7 +5,7 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::pin::Pin;
 use std::process::{ExitStatus, Stdio};
 use std::time::Duration;
@@ -78,12 +78,14 @@
     pub path: PathBuf,
     /// Where its configurations go.
     pub folder: PathBuf,
+    /// The operator's file.
+    pub settings: Option<PathBuf>,
 }
 
 impl StartGateway for Program {
     fn start<'a>(&'a self, gateway: usize, config: Value) -> Starting<'a> {
         Box::pin(async move {
-            let process = Process::start(&self.path, &self.folder, gateway, &config).await?;
+            let process = Process::start(self, gateway, &config).await?;
             Ok(Box::new(process) as Box<dyn RunningGateway>)
         })
     }
@@ -96,12 +98,8 @@
 }
 
 impl Process {
-    async fn start(
-        path: &Path,
-        folder: &Path,
-        gateway: usize,
-        config: &Value,
-    ) -> Result<Process, GatewayError> {
+    async fn start(program: &Program, gateway: usize, config: &Value) -> Result<Process, GatewayError> {
+        let Program { path, folder, settings } = program;
         let failed = |source| GatewayError::Start { program: path.display().to_string(), source };
         let file = folder.join(format!("gateway-{gateway}.json"));
         std::fs::write(&file, config.to_string()).map_err(failed)?;
@@ -112,6 +110,7 @@
             .stdin(Stdio::null())
             .stderr(Stdio::piped())
             .kill_on_drop(true);
+        command.envs(settings.iter().map(|file| ("OTTERVANE_SETTINGS", file)));
         let mut child = command.spawn().map_err(failed)?;
         let mut log = Vec::new();
         let Some(errors) = child.stderr.take() else {
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,12 +1,14 @@
 //! The rig's command line: play a script on sockets or in virtual time, or check it.
 
 use clap::{Parser, Subcommand};
+use ottervane_control::storm::StormSettings;
 use ottervane_rig::live::gateways::Program;
 use ottervane_rig::replay::replay;
 use ottervane_rig::report::{Counts, Report};
 use ottervane_rig::script::Script;
 use ottervane_rig::simulate::simulate;
 use ottervane_rig::timeline::svg;
+use ottervane_settings::Document;
 use std::error::Error;
 use std::io::{IsTerminal, Write};
 use std::path::{Path, PathBuf};
@@ -56,6 +58,9 @@
     /// How many gateways, in place of what the script says.
     #[arg(long)]
     gateways: Option<usize>,
+    /// The operator's file for all gateways. In virtual time its table [storm] alone has a meaning.
+    #[arg(long)]
+    settings: Option<PathBuf>,
     /// Write the report as JSON to this file.
     #[arg(long)]
     json: Option<PathBuf>,
@@ -69,6 +74,16 @@
     Ok(Script::parse(&path.display().to_string(), &text)?)
 }
 
+/// Storm control, where the operator's file switches it on.
+fn storm(settings: Option<&Path>) -> Result<Option<StormSettings>, Box<dyn Error>> {
+    let Some(path) = settings else { return Ok(None) };
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
+    let document = Document::parse(&name, &text)?;
+    let storm = document.root().table("storm").map(|table| StormSettings::read(&table));
+    Ok(document.check(storm)?)
+}
+
 /// The gateway's program of this workspace, built if need be.
 fn program() -> Result<PathBuf, Box<dyn Error>> {
     let own = std::env::current_exe()?;
@@ -136,7 +151,8 @@
         Sub::Simulate { play } => {
             let script = read(&play.script)?;
             let began = std::time::Instant::now();
-            let (report, cost) = simulate(&script, play.seed, play.gateways)?;
+            let (report, cost) =
+                simulate(&script, play.seed, play.gateways, storm(play.settings.as_deref())?)?;
             let code = finish(&play, &report)?;
             eprintln!(
                 "{:.2} s of wall time, {:.1} us of decisions a request",
@@ -150,7 +166,7 @@
             let path = named.map_or_else(program, Ok)?;
             let folder = std::env::temp_dir().join(format!("ottervane-rig-{}", std::process::id()));
             std::fs::create_dir_all(&folder)?;
-            let start = Program { path, folder: folder.clone() };
+            let start = Program { path, folder: folder.clone(), settings: play.settings.clone() };
             let show = |at, counts, in_time| progress(script.lasts, at, counts, in_time);
             let played = replay(&script, play.seed, play.gateways, &start, &show);
             let _ = std::fs::remove_dir_all(&folder); // what is left there harms nobody
--- a/crates/rig/src/simulate.rs
+++ b/crates/rig/src/simulate.rs
@@ -14,6 +14,7 @@
 use crate::script::Script;
 use ottervane::wire::parse_settings;
 use ottervane::{Action, Balancer, Effect, Event, HostId, HostState, Outcome, Request, RequestId, Settings};
+use ottervane_control::storm::{Answered, Arriving, Storm, StormSettings};
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
 use std::time::{Duration, Instant};
@@ -134,6 +135,7 @@
 
 struct Gateway {
     balancer: Balancer,
+    storm: Option<Storm>,
     zone: usize,
     hosts: Vec<ottervane::Host>,
     idle: Vec<Vec<(u64, Duration)>>,
@@ -184,6 +186,7 @@
     node_due: Vec<Option<Duration>>,
     gateways: Vec<Gateway>,
     by_zone: Vec<Vec<usize>>,
+    mean_worth: f64,
     register: Register,
     ledger: Ledger,
     counts: Counts,
@@ -194,7 +197,7 @@
     actions: Vec<Action>,
 }
 
-/// Plays a script with so many gateways, or with as many as it names.
+/// Plays a script with so many gateways, or with as many as it names, with storm control or without.
 ///
 /// # Errors
 /// Where the decision module does not take the settings that the script makes.
@@ -202,8 +205,9 @@
     script: &Script,
     seed: u64,
     gateways: Option<usize>,
+    storm: Option<StormSettings>,
 ) -> Result<(Report, Cost), SimulateError> {
-    let mut world = World::new(script, Draws::new(seed), gateways.unwrap_or(script.fleet.gateways))?;
+    let mut world = World::new(script, Draws::new(seed), gateways.unwrap_or(script.fleet.gateways), storm)?;
     let end = script.end();
     while let Some(next) = world.due.pop() {
         if next.at > end {
@@ -216,12 +220,27 @@
 }
 
 impl<'s> World<'s> {
-    fn new(script: &'s Script, draws: Draws, count: usize) -> Result<World<'s>, SimulateError> {
+    fn new(
+        script: &'s Script,
+        draws: Draws,
+        count: usize,
+        storm: Option<StormSettings>,
+    ) -> Result<World<'s>, SimulateError> {
         let day = plan(script, draws);
         let mut gateways = Vec::with_capacity(count);
         for g in 0..count {
             let settings: Settings = parse_settings(&script.settings(g, count).to_string())?;
             gateways.push(Gateway {
+                storm: storm.map(|s| {
+                    let (cold_from, cold_for) = (settings.cold_from, settings.cold_for);
+                    Storm::new(
+                        s,
+                        cold_from,
+                        cold_for,
+                        settings.max_keep_away,
+                        draws.number(For::Advice, g as u64),
+                    )
+                }),
                 balancer: Balancer::new(settings, draws.number(For::Gateway, g as u64)),
                 zone: script.zone_of(g),
                 hosts: Vec::new(),
@@ -250,6 +269,7 @@
             nodes,
             gateways,
             by_zone,
+            mean_worth: mean_worth(script),
             register: Register::new(script, draws),
             ledger: ledger(script),
             counts: Counts::default(),
@@ -461,6 +481,18 @@
         let Try { place, tries, gateway, until, .. } = self.tries[n];
         let asked = &self.day[place];
         let give_up = until.saturating_sub(AHEAD);
+        let (worth, mean) = (self.script.classes[asked.class].worth, self.mean_worth);
+        let arriving = Arriving {
+            repeat: tries > 0,
+            identity: identity(asked),
+            worth: worth / mean,
+            in_share: asked.in_share,
+        };
+        let allowance = match &mut self.gateways[gateway].storm {
+            Some(storm) => storm.arrive(BEFORE + self.now, arriving).part,
+            None => 1.0,
+        };
+        let asked = &self.day[place];
         let request = Request {
             id: id(n),
             class: asked.class,
@@ -468,6 +500,7 @@
             key: asked.subject.map(ottervane::mix),
             cost_hint: None,
             repeat: tries > 0,
+            allowance,
             give_up_at: BEFORE + give_up,
         };
         self.cost.requests += 1;
@@ -529,8 +562,17 @@
     }
 
     /// The gateway's final answer leaves for the client. Only the first one does.
-    fn answer(&mut self, n: usize, seen: Seen) {
+    fn answer(&mut self, n: usize, mut seen: Seen) {
         if !std::mem::replace(&mut self.tries[n].answered, true) {
+            let Try { gateway, place, .. } = self.tries[n];
+            let now = BEFORE + self.now;
+            if let Some(storm) = &mut self.gateways[gateway].storm {
+                storm.answered(now, answered(seen));
+                if let Seen::Refused { come_back } = &mut seen {
+                    let advice = storm.refuse(now, identity(&self.day[place]), come_back.unwrap_or_default());
+                    *come_back = Some(advice).filter(|t| !t.is_zero());
+                }
+            }
             let way = self.client_way(n, Hop::ToClient);
             self.at(self.now + way, Happening::Answer { n, seen });
         }
@@ -772,6 +814,11 @@
             };
             self.ledger.told(gateway, entry.node, self.now, told);
         }
+        if let Some(storm) = &mut g.storm {
+            let up = g.hosts.iter().filter(|h| h.state == HostState::Up);
+            let up: Vec<_> = up.map(|h| ottervane_control::storm::Host { started: h.started }).collect();
+            storm.hosts(BEFORE + self.now, &up);
+        }
         self.decide(gateway, Event::Hosts { full: list.whole, hosts: &hosts });
     }
 
@@ -830,6 +877,26 @@
     }
 }
 
+/// What tells a request from the others: a retry has the same.
+fn identity(asked: &Asked) -> Option<u64> {
+    Some(asked.key)
+}
+
+/// The mean worth of a request, by the classes' shares.
+fn mean_worth(script: &Script) -> f64 {
+    let (worth, shares) =
+        script.classes.iter().fold((0.0, 0.0), |(w, s), c| (w + c.worth * c.share, s + c.share));
+    worth / shares
+}
+
+fn answered(seen: Seen) -> Answered {
+    match seen {
+        Seen::Served => Answered::Served,
+        Seen::Refused { .. } => Answered::Refused,
+        Seen::Failed | Seen::Unreachable => Answered::Failed,
+    }
+}
+
 /// The module's number of a try; never 0.
 fn id(n: usize) -> RequestId {
     RequestId(n as u64 + 1)
--- a/crates/rig/tests/scripts.rs
+++ b/crates/rig/tests/scripts.rs
@@ -1,5 +1,6 @@
 //! Scripts: those that ship hold, mistakes are all told, and two runs of one seed are the same to the byte.
 
+use ottervane_control::storm::StormSettings;
 use ottervane_rig::draws::Draws;
 use ottervane_rig::ledger::Rule;
 use ottervane_rig::plan::{met, plan};
@@ -26,7 +27,7 @@
 }
 
 fn run(script: &Script, seed: u64) -> Report {
-    simulate(script, seed, None).expect("settings that the module takes").0
+    simulate(script, seed, None, None).expect("settings that the module takes").0
 }
 
 #[test]
@@ -170,3 +171,26 @@
         }
     }
 }
+
+/// With a storm and without one, storm control breaks no rule, costs a calm day nothing, and is the same run twice.
+#[test]
+fn storm_control_breaks_no_rule_and_costs_a_calm_day_nothing() {
+    let on = Some(StormSettings::default());
+    for (file, text) in shipped() {
+        let script = Script::parse(&file, &text).expect("a script");
+        if script.fleet.gateways > 50 {
+            continue;
+        }
+        let played = |storm| simulate(&script, 5, None, storm).expect("settings").0;
+        let (with, without) = (played(on), played(None));
+        assert_eq!(with.breaches, [], "{file}");
+        assert_eq!(with.to_json(), played(on).to_json(), "{file}");
+        let whole = |r: &Report| r.service.as_ref().expect("a figure").whole;
+        assert!(
+            whole(&with) > whole(&without) - 0.005,
+            "{file}: {} with it, {} without",
+            whole(&with),
+            whole(&without)
+        );
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -232,6 +232,9 @@
     pub cost_hint: Option<Duration>,
     /// The client has tried before (where clients say so).
     pub repeat: bool,
+    /// The part of the admission that it may use: 1 for all of it. Below, it is refused while others still get in;
+    /// at 0, unless nothing at all is out.
+    pub allowance: f64,
     /// When the client gives this try up.
     pub give_up_at: Duration,
 }
@@ -239,7 +242,16 @@
 impl Request {
     /// A plain request: tenant 0, no key, no hint.
     pub fn new(id: RequestId, class: usize, give_up_at: Duration) -> Self {
-        Request { id, class, tenant: 0, key: None, cost_hint: None, repeat: false, give_up_at }
+        Request {
+            id,
+            class,
+            tenant: 0,
+            key: None,
+            cost_hint: None,
+            repeat: false,
+            allowance: 1.0,
+            give_up_at,
+        }
     }
 }
 
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -483,7 +483,7 @@
         let slow = (t.latency / (SLOW * self.aims.0)).powi(2).min(1.0);
         let fits = t.served.per_s * self.aims.0 * (1.0 - (1.0 - TIGHT) * t.late * slow);
         let slack = SLACK * self.ready.len() as f64 / f64::from(self.set.gateways.max(1));
-        if t.out > (fits + CHANCE * fits.sqrt() + slack) * (class.worth / t.worth).powf(0.25) {
+        if t.out > (fits + CHANCE * fits.sqrt() + slack) * (class.worth / t.worth).powf(0.25) * r.allowance {
             return actions.push(Action::Refuse { request: r.id, keep_away: self.set.max_keep_away });
         }
         self.spare = (self.spare + COPY_SHARE).min(1.0);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -399,6 +399,7 @@
                     key: e.item.as_deref().map(stable_hash),
                     cost_hint: e.size_hint_s.filter(|_| bits & 1 != 0).map(time),
                     repeat: bits & 2 != 0,
+                    allowance: 1.0,
                     give_up_at: time(e.not_after_s.ok_or_else(|| lacks("not_after_s"))?),
                 })
             }
