End the gateways of a replay that is broken off

A rig that got SIGTERM or Ctrl-C ended at once and left its gateways running. A run now ends with a signal, and its processes with it. A test breaks a run off and looks for gateways that are left; with the killing taken out they stay.

--- a/crates/gateway/tests/replay.rs
+++ b/crates/gateway/tests/replay.rs
@@ -2,17 +2,18 @@
 //! proves the four rules on each.
 
 use ottervane_rig::live::gateways::Program;
-use ottervane_rig::replay::replay;
+use ottervane_rig::replay::{replay, ReplayError};
 use ottervane_rig::report::Report;
 use ottervane_rig::script::Script;
 use std::path::PathBuf;
+use std::time::{Duration, Instant};
 
 fn played(name: &str, text: &str, settings: Option<PathBuf>) -> Report {
     let script = Script::parse(name, text).unwrap_or_else(|problems| panic!("{problems}"));
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("replay-{name}"));
     std::fs::create_dir_all(&folder).expect("a folder");
     let start = Program { path: PathBuf::from(env!("CARGO_BIN_EXE_ottervane-gateway")), folder, settings };
-    let (report, _) = replay(&script, 2, None, &start, &|_, _, _| {}).expect("a run");
+    let (report, _) = replay(&script, 2, None, &start, &|_, _, _| {}, std::future::pending()).expect("a run");
     assert_eq!(report.breaches, [], "{}", report.to_text());
     report
 }
@@ -118,3 +119,38 @@
     assert!(report.counts.refused > 100, "{}", report.to_text());
     assert_eq!(report.counts.fallen, 0, "{}", report.to_text());
 }
+
+/// A run that is broken off leaves no gateway behind.
+#[test]
+fn a_run_that_is_broken_off_ends_its_gateways() {
+    let script = Script::parse("stop", "name = \"stop\"\nlasts = \"60s\"").expect("a script");
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("replay-stop");
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let file = folder.join("gateway-0.json");
+    let start =
+        Program { path: PathBuf::from(env!("CARGO_BIN_EXE_ottervane-gateway")), folder, settings: None };
+    let stop = async { tokio::time::sleep(Duration::from_secs(2)).await };
+    let played = replay(&script, 1, None, &start, &|_, _, _| {}, stop);
+    assert!(matches!(played, Err(ReplayError::Stopped)), "{played:?}");
+    // A process tells the file that it was started on in its environment.
+    let has_file = |process: &std::fs::DirEntry| {
+        let environment = std::fs::read(process.path().join("environ")).unwrap_or_default();
+        String::from_utf8_lossy(&environment).contains(&format!("ROUTER_CONFIG={}", file.display()))
+    };
+    let left = || {
+        let processes = std::fs::read_dir("/proc").expect("Linux").flatten();
+        let processes: Vec<_> = processes.filter(|p| has_file(p) && !is_dead(p)).collect();
+        !processes.is_empty()
+    };
+    let begun = Instant::now();
+    while left() {
+        assert!(begun.elapsed() < Duration::from_secs(30), "a gateway runs on");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// One that has ended and that nobody has asked for yet is no longer there.
+fn is_dead(process: &std::fs::DirEntry) -> bool {
+    let state = std::fs::read_to_string(process.path().join("stat")).unwrap_or_default();
+    state.rsplit(')').next().is_none_or(|rest| rest.trim_start().starts_with('Z'))
+}
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -14,6 +14,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitCode};
 use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
 
 /// Rehearse incidents of the booking service against stand-in nodes.
 ///
@@ -141,6 +142,16 @@
     }
 }
 
+/// Ends with the signals that ask a program to stop: its gateways must not outlive it.
+async fn stopped() {
+    let waiting = || Some((signal(SignalKind::terminate()).ok()?, signal(SignalKind::interrupt()).ok()?));
+    let Some((mut terminate, mut interrupt)) = waiting() else { return std::future::pending().await };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
 fn run(arguments: Arguments) -> Result<ExitCode, Box<dyn Error>> {
     match arguments.command {
         Sub::Check { script } => {
@@ -168,7 +179,7 @@
             std::fs::create_dir_all(&folder)?;
             let start = Program { path, folder: folder.clone(), settings: play.settings.clone() };
             let show = |at, counts, in_time| progress(script.lasts, at, counts, in_time);
-            let played = replay(&script, play.seed, play.gateways, &start, &show);
+            let played = replay(&script, play.seed, play.gateways, &start, &show, stopped());
             let _ = std::fs::remove_dir_all(&folder); // what is left there harms nobody
             let (report, spent) = played?;
             let code = finish(&play, &report)?;
--- a/crates/rig/src/replay.rs
+++ b/crates/rig/src/replay.rs
@@ -12,6 +12,7 @@
 use crate::script::Script;
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::io;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -29,6 +30,9 @@
     /// A gateway.
     #[error(transparent)]
     Gateway(#[from] GatewayError),
+    /// It was broken off.
+    #[error("broken off")]
+    Stopped,
     /// A port, or the runtime.
     #[error("the stand-ins can't be started: {0}")]
     Io(#[from] io::Error),
@@ -43,20 +47,28 @@
     pub rig: Option<Duration>,
 }
 
-/// Plays a script with so many gateways, or with as many as it names. `progress` is told of every second.
+/// Plays a script with so many gateways, or with as many as it names. `progress` is told of every second. Where
+/// `stop` ends first, the run is broken off and its gateways are ended.
 ///
 /// # Errors
-/// Where a gateway or a stand-in can't be started. What goes wrong later stands in the report.
+/// Where a gateway or a stand-in can't be started, or the run was broken off. What goes wrong later stands in the
+/// report.
 pub fn replay(
     script: &Script,
     seed: u64,
     gateways: Option<usize>,
     start: &dyn StartGateway,
     progress: &dyn Fn(Duration, Counts, u64),
+    stop: impl Future<Output = ()>,
 ) -> Result<(Report, Spent), ReplayError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let day = Rc::new(Day::new(script, seed, gateways.unwrap_or(script.fleet.gateways)));
-    LocalSet::new().block_on(&runtime, play(day, seed, start, progress))
+    LocalSet::new().block_on(&runtime, async {
+        tokio::select! {
+            played = play(day, seed, start, progress) => played,
+            () = stop => Err(ReplayError::Stopped),
+        }
+    })
 }
 
 /// The configuration of a gateway, as the platform gives it.
--- a/crates/rig/tests/mutants.rs
+++ b/crates/rig/tests/mutants.rs
@@ -238,7 +238,8 @@
         "#
     );
     let script = Script::parse("mutant.toml", &text).expect("a script");
-    let (report, _) = replay(&script, 5, None, &Mutant(fault), &|_, _, _| {}).expect("a run");
+    let (report, _) =
+        replay(&script, 5, None, &Mutant(fault), &|_, _, _| {}, std::future::pending()).expect("a run");
     assert!(report.counts.asked > 30, "{:?}", report.counts);
     report
 }
