--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod script;
 pub mod scripted;
 pub mod simulate;
+pub mod sweep;
 pub mod timeline;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,14 +1,13 @@
 //! The rig's command line: play a script on sockets or in virtual time, or check it.
 
 use clap::{Parser, Subcommand};
-use ottervane_control::storm::StormSettings;
 use ottervane_rig::live::gateways::Program;
 use ottervane_rig::replay::replay;
 use ottervane_rig::report::{Counts, Report};
 use ottervane_rig::script::Script;
 use ottervane_rig::simulate::simulate;
+use ottervane_rig::sweep::{self, plot, study, table, Study};
 use ottervane_rig::timeline::svg;
-use ottervane_settings::Document;
 use std::error::Error;
 use std::io::{IsTerminal, Write};
 use std::path::{Path, PathBuf};
@@ -42,6 +41,8 @@
         #[command(flatten)]
         play: Play,
     },
+    /// Play a study: scripts x gateways x seeds x variants in virtual time, over all cores.
+    Sweep(SweepArgs),
     /// Say whether a script is as it should be.
     Check {
         /// The script.
@@ -70,21 +71,38 @@
     svg: Option<PathBuf>,
 }
 
+#[derive(clap::Args)]
+struct SweepArgs {
+    /// The study.
+    study: PathBuf,
+    /// Another build of this program, as a further variant named `against`, the first that the others are held against.
+    #[arg(long)]
+    against: Option<PathBuf>,
+    /// Seeds from 1 to this one, in place of what the study says.
+    #[arg(long)]
+    seeds: Option<u64>,
+    /// Play only scripts whose name contains this.
+    #[arg(long)]
+    only: Option<String>,
+    /// How many runs at once; one for each core without it.
+    #[arg(long)]
+    threads: Option<usize>,
+    /// Write rows and runs as JSON to this file.
+    #[arg(long)]
+    json: Option<PathBuf>,
+    /// Write the runs as CSV to this file.
+    #[arg(long)]
+    csv: Option<PathBuf>,
+    /// Write the plots as SVG to this file.
+    #[arg(long)]
+    svg: Option<PathBuf>,
+}
+
 fn read(path: &Path) -> Result<Script, Box<dyn Error>> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
     Ok(Script::parse(&path.display().to_string(), &text)?)
 }
 
-/// Storm control, where the operator's file switches it on.
-fn storm(settings: Option<&Path>) -> Result<Option<StormSettings>, Box<dyn Error>> {
-    let Some(path) = settings else { return Ok(None) };
-    let name = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
-    let document = Document::parse(&name, &text)?;
-    let storm = document.root().table("storm").map(|table| StormSettings::read(&table));
-    Ok(document.check(storm)?)
-}
-
 /// The gateway's program of this workspace, built if need be.
 fn program() -> Result<PathBuf, Box<dyn Error>> {
     let own = std::env::current_exe()?;
@@ -109,15 +127,58 @@
     Ok(path)
 }
 
+fn write_file(path: &Path, text: &str) -> Result<(), String> {
+    std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn run_study(arguments: &SweepArgs) -> Result<ExitCode, Box<dyn Error>> {
+    let mut study = Study::read(&arguments.study)?;
+    study.seeds = arguments.seeds.unwrap_or(study.seeds);
+    study.played.retain(|p| arguments.only.as_deref().is_none_or(|part| p.script.name.contains(part)));
+    if study.seeds == 0 || study.played.is_empty() {
+        return Err(format!("{}: nothing to play; see --seeds and --only", arguments.study.display()).into());
+    }
+    if let Some(program) = arguments.against.clone() {
+        let program =
+            Some(std::fs::canonicalize(&program).map_err(|e| format!("{}: {e}", program.display()))?);
+        study
+            .variants
+            .insert(0, study::Variant { name: "against".into(), storm: None, program, settings: None });
+    }
+    let threads = arguments.threads.or_else(|| std::thread::available_parallelism().ok().map(usize::from));
+    let show = |done: usize, of: usize| {
+        let mut out = std::io::stderr();
+        if out.is_terminal() {
+            let _ = write!(out, "\r{done} of {of} runs ");
+            let _ = if done == of { writeln!(out) } else { out.flush() };
+        } else if done == of || done % 100 == 0 {
+            let _ = writeln!(out, "{done} of {of} runs");
+        }
+    };
+    let runs = sweep::run(&study, threads.unwrap_or(1), &show)?;
+    let rows = table::rows(&runs);
+    println!("{}: {}", study.name, study.about);
+    print!("{}", table::text(&rows));
+    if let Some(path) = &arguments.json {
+        let all = serde_json::json!({ "study": study.name, "rows": rows, "runs": runs });
+        write_file(path, &(serde_json::to_string_pretty(&all)? + "\n"))?;
+    }
+    if let Some(path) = &arguments.csv {
+        write_file(path, &table::csv(&runs)?)?;
+    }
+    if let Some(path) = &arguments.svg {
+        write_file(path, &plot::svg(&rows)?)?;
+    }
+    Ok(ExitCode::from(u8::from(rows.iter().any(|r| r.breaches > 0))))
+}
+
 fn finish(play: &Play, report: &Report) -> Result<ExitCode, Box<dyn Error>> {
     print!("{}", report.to_text());
-    let write =
-        |path: &Path, text: &str| std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()));
     if let Some(path) = &play.json {
-        write(path, &report.to_json())?;
+        write_file(path, &report.to_json())?;
     }
     if let Some(path) = &play.svg {
-        write(path, &svg(report)?)?;
+        write_file(path, &svg(report)?)?;
     }
     Ok(match report {
         report if !report.breaches.is_empty() => ExitCode::from(1),
@@ -159,11 +220,12 @@
             println!("{}: {}", script.name, script.about);
             Ok(ExitCode::SUCCESS)
         }
+        Sub::Sweep(arguments) => run_study(&arguments),
         Sub::Simulate { play } => {
             let script = read(&play.script)?;
+            let storm = play.settings.as_deref().map(study::storm).transpose()?.flatten();
             let began = std::time::Instant::now();
-            let (report, cost) =
-                simulate(&script, play.seed, play.gateways, storm(play.settings.as_deref())?)?;
+            let (report, cost) = simulate(&script, play.seed, play.gateways, storm)?;
             let code = finish(&play, &report)?;
             eprintln!(
                 "{:.2} s of wall time, {:.1} us of decisions a request",
--- a/crates/rig/src/simulate.rs
+++ b/crates/rig/src/simulate.rs
@@ -13,7 +13,9 @@
 use crate::report::{service, tallies, Counts, Report, Runner, Sample};
 use crate::script::Script;
 use ottervane::wire::parse_settings;
-use ottervane::{Action, Balancer, Effect, Event, HostId, HostState, Outcome, Request, RequestId, Settings};
+use ottervane::{
+    Action, Balancer, Effect, Event, HostId, HostState, LoadReport, Outcome, Request, RequestId, Settings,
+};
 use ottervane_control::storm::{Answered, Arriving, Storm, StormSettings};
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
@@ -85,7 +87,7 @@
     /// A node does something by itself.
     Node { node: usize, due: Duration },
     /// A node's answer reaches the gateway, or the end of its connection does.
-    Reply { a: usize, outcome: Outcome },
+    Reply { a: usize, outcome: Outcome, report: Option<LoadReport> },
     /// An attempt's time is up.
     AttemptTimeout { a: usize },
     /// The end of a connection reaches its node.
@@ -350,7 +352,7 @@
                     self.hear(node);
                 }
             }
-            Happening::Reply { a, outcome } => self.reply(a, outcome),
+            Happening::Reply { a, outcome, report } => self.reply(a, outcome, report),
             Happening::AttemptTimeout { a } => {
                 if !self.attempts[a].over {
                     let outcome =
@@ -672,15 +674,19 @@
         if !there {
             self.ledger.ended(attempt, self.now, Ended::Broken);
             let way = self.node_way(a, Hop::FromNode);
-            self.at(self.now + way, Happening::Reply { a, outcome: Outcome::Reset });
+            self.at(self.now + way, Happening::Reply { a, outcome: Outcome::Reset, report: None });
         }
     }
 
-    fn reply(&mut self, a: usize, outcome: Outcome) {
+    fn reply(&mut self, a: usize, outcome: Outcome, report: Option<LoadReport>) {
         let Attempt { n, node, connection, over, .. } = self.attempts[a];
         if over {
             return;
         }
+        if let Some(report) = report {
+            let host = HostId(node as u32);
+            self.decide(self.tries[n].gateway, Event::Load { host, report });
+        }
         if outcome != Outcome::Reset {
             self.gateways[self.tries[n].gateway].idle[node].push((connection, self.now));
         }
@@ -714,7 +720,7 @@
         for output in outputs {
             match output {
                 Output::Began { attempt } => self.ledger.began(attempt, self.now),
-                Output::Answered { attempt, answer, .. } => {
+                Output::Answered { attempt, answer, report, .. } => {
                     let (ended, outcome) = match answer {
                         Answer::Served { dropped } => {
                             self.counts.repeats_dropped += u64::from(dropped);
@@ -726,13 +732,14 @@
                     self.ledger.ended(attempt, self.now, ended);
                     let a = attempt as usize;
                     let way = self.node_way(a, Hop::FromNode);
-                    self.at(self.now + way, Happening::Reply { a, outcome });
+                    let report = LoadReport { qps: report.qps, inflight: report.inflight }.checked();
+                    self.at(self.now + way, Happening::Reply { a, outcome, report });
                 }
                 Output::Ended { attempt: Some(attempt), .. } => {
                     self.ledger.ended(attempt, self.now, Ended::Broken);
                     let a = attempt as usize;
                     let way = self.node_way(a, Hop::FromNode);
-                    self.at(self.now + way, Happening::Reply { a, outcome: Outcome::Reset });
+                    self.at(self.now + way, Happening::Reply { a, outcome: Outcome::Reset, report: None });
                 }
                 Output::Ended { connection, attempt: None } => {
                     let at = self.now + self.script.network.same;
--- a/src/api.rs
+++ b/src/api.rs
@@ -283,6 +283,15 @@
     }
 }
 
+/// What a host says of its load, all gateways together: refreshed now and then, older than it looks, a little noisy.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadReport {
+    /// Requests served a second, over the time since the report before.
+    pub qps: f64,
+    /// Requests held when it was made.
+    pub inflight: f64,
+}
+
 /// What happens at the gateway.
 #[derive(Clone, Debug)]
 pub enum Event<'a> {
@@ -319,6 +328,13 @@
         /// The request is over: no answer is owed any more.
         over: bool,
     },
+    /// An answer of the host carried a load report; told ahead of the answer's [`Event::Outcome`].
+    Load {
+        /// The host.
+        host: HostId,
+        /// What it says.
+        report: LoadReport,
+    },
     /// The client has left: the request is over.
     Abandoned {
         /// The request.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -299,6 +299,7 @@
                     me.advance(now, RequestId(token), req, actions);
                 }
             }),
+            Event::Load { host, report } => self.take_report(now, host, report),
             Event::Probed { .. } => {}
         }
     }
@@ -447,6 +448,8 @@
         }
     }
 
+    fn take_report(&mut self, _now: f64, _host: HostId, _report: api::LoadReport) {}
+
     fn observe(&mut self, now: f64, host: usize, y: f64) {
         self.mean = if self.traffic.latency > 0.0 { self.mean } else { y * self.hosts[host].size };
         let prior = self.prior(&self.hosts[host]);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 
 pub mod api;
 pub mod balancer;
+pub mod report;
 pub mod wire;
 
 pub use api::*;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -5,6 +5,7 @@
     Settings, Weights,
 };
 use crate::balancer::Balancer;
+use crate::report::ReportFields;
 use rustc_hash::FxHashMap;
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -71,6 +72,7 @@
     copy: Option<u32>,
     delay_seen_s: Option<f64>,
     no_more: Option<bool>,
+    metrics: Option<Vec<f64>>,
     label: Option<u64>,
 }
 
@@ -234,6 +236,7 @@
 /// One gateway: its decisions, and the names of its hosts and requests.
 struct Instance {
     balancer: Balancer,
+    report_fields: ReportFields,
     hosts: FxHashMap<Box<str>, HostId>,
     host_texts: Vec<String>,
     requests: FxHashMap<Box<str>, u64>,
@@ -353,6 +356,7 @@
             let seed = e.random_seed.ok_or_else(|| lacks("random_seed"))?;
             let instance = Instance {
                 balancer: Balancer::new(settings, seed),
+                report_fields: ReportFields::parse(info.get()).map_err(|err| format!("settings: {err}"))?,
                 hosts: FxHashMap::default(),
                 host_texts: Vec::new(),
                 requests: FxHashMap::default(),
@@ -372,7 +376,7 @@
             outcome(word).ok_or_else(|| format!("{kind} with unknown outcome {word:?}"))
         };
         let known = e.request.as_deref().and_then(|r| inst.requests.get(r).copied()).map(RequestId);
-        let mut done = None;
+        let (mut done, mut load) = (None, None);
         let mut hosts: Vec<Host> = Vec::new();
         let event = match kind {
             "BackendsChanged" => match e.mode.as_deref() {
@@ -416,6 +420,9 @@
                     named.over |= over;
                 }
                 done = Some(request.0);
+                let report = e.metrics.as_deref().and_then(|row| inst.report_fields.in_row(row));
+                let host = e.host.as_deref().and_then(|name| inst.hosts.get(name)).copied();
+                load = host.zip(report).map(|(host, report)| Event::Load { host, report });
                 let attempt = e.copy.unwrap_or(0);
                 Event::Outcome { request, attempt, latency, outcome, over }
             }
@@ -438,7 +445,9 @@
             _ => return Err(format!("unknown event {kind:?}")),
         };
         self.actions.clear();
-        inst.balancer.handle(now, event, &mut self.actions);
+        for event in load.into_iter().chain([event]) {
+            inst.balancer.handle(now, event, &mut self.actions);
+        }
         for action in &self.actions {
             inst.write(gateway, action, now, reply);
         }
