Send where the settings say that hosts are never cold

With cold_from = 1 the warmth of a host that has been up for ever was 0 x infinity: no number, no tokens, every request refused. The time since the start is held to the warm-up; a test that fails without it. Other settings are unchanged.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -416,7 +416,8 @@
 
     /// How much of its full work a host can do at least, from its start.
     fn warmth(&self, now: f64, h: &Host) -> f64 {
-        let part = (now - h.started) / self.set.cold_for.as_secs_f64().max(1e-3);
+        // Held to 1: where hosts are never cold, what has been up for ever gives 0 x infinity.
+        let part = ((now - h.started) / self.set.cold_for.as_secs_f64().max(1e-3)).min(1.0);
         (self.set.cold_from + (1.0 - self.set.cold_from) * part).clamp(0.01, 1.0)
     }
 
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -434,3 +434,9 @@
     let sent: Vec<_> = (0..4).filter_map(|_| bench.request(0, None)).collect();
     assert!(!sent.is_empty() && !sent.contains(&1), "{sent:?}");
 }
+
+#[test]
+fn hosts_that_are_never_cold_are_sent_to() {
+    let mut bench = Bench::new(Settings { cold_from: 1.0, ..settings() }, 4);
+    assert!(bench.request(0, None).is_some());
+}
