--- a/crates/rig/src/script/mod.rs
+++ b/crates/rig/src/script/mod.rs
@@ -45,8 +45,10 @@
 pub struct Fleet {
     /// The data centres.
     pub zones: Vec<String>,
-    /// How many gateways; dealt to the zones in turn.
+    /// How many gateways in virtual time; dealt to the zones in turn.
     pub gateways: usize,
+    /// How many on sockets, each a process of its own.
+    pub on_sockets: usize,
     /// What gateways are told of their number, as a multiple of the truth.
     pub told: f64,
     /// How many nodes; likewise.
--- a/crates/rig/src/sweep/mod.rs
+++ b/crates/rig/src/sweep/mod.rs
@@ -1,8 +1,7 @@
 //! Sweeps: scripts x gateways x seeds x variants in virtual time, pairs by seed, with intervals.
 //!
-//! The bound beside the rows (`oracle`) is one gateway that takes all requests: one decision module that is fed every
-//! event of the day with no delay between gateways. Its connections are pooled as well, so it is a little above what
-//! many gateways could reach that knew all.
+//! The bound beside the rows (`oracle`) is one decision module that is fed the events of all gateways with no delay. Each
+//! gateway keeps its own connections, so what the bound lacks is the price of many connections and not of knowledge.
 
 pub mod plot;
 pub mod run;
--- a/crates/rig/src/sweep/study.rs
+++ b/crates/rig/src/sweep/study.rs
@@ -47,7 +47,7 @@
     pub played: Vec<Played>,
     /// Seeds from 1 to this one.
     pub seeds: u64,
-    /// Whether one gateway that sees everything at once stands beside each script, as the bound.
+    /// Whether one decision module that is fed the events of all gateways stands beside each row, as the bound.
     pub oracle: bool,
     /// What is compared; the first is what the others are held against.
     pub variants: Vec<Variant>,
@@ -167,6 +167,7 @@
         let (name, about) =
             (root.need::<String>("name").unwrap_or_default(), root.or("about", String::new()));
         let oracle = root.or("oracle", false);
+        root.finish();
         let mut study = document.check(Study { name, about, played: Vec::new(), seeds, oracle, variants })?;
         for variant in &mut study.variants {
             variant.storm = variant.settings.as_deref().map(storm).transpose()?.flatten();
