Tell a study's variants apart, and name the one that a script's mistake comes from

Two variants of one name fell into one row, and a mistake that a variant's set makes pointed at a line of a file that does not hold it. Both are errors with the place now, each with a test.

--- a/crates/rig/src/sweep/study.rs
+++ b/crates/rig/src/sweep/study.rs
@@ -1,5 +1,6 @@
 //! A study: which scripts, with how many gateways, which seeds and which variants. Read from TOML, checked whole.
 
+use super::run::ORACLE;
 use crate::script::Script;
 use ottervane_control::storm::StormSettings;
 use ottervane_settings::{Document, Table};
@@ -150,6 +151,9 @@
             let program = table.get::<String>("program").map(beside);
             let settings = table.get::<String>("settings").map(beside);
             let set = table.or("set", Vec::new());
+            if name == ORACLE || variants.iter().any(|v: &Variant| v.name == name) {
+                table.wrong("name", format!("{name:?} is taken: rows are told apart by it"));
+            }
             if program.is_some() && !set.is_empty() {
                 table.wrong("set", "goes with this build: another one reads the script's file itself");
             }
@@ -179,7 +183,11 @@
             for variant in &study.variants {
                 changed.push(match variant.set.as_slice() {
                     [] => None,
-                    set => Some(Script::parse(&name, &with(&name, &text, set)?)?),
+                    // The lines are those of the changed text, so the variant is named beside the file.
+                    set => {
+                        let changed = format!("{name} as variant {:?} sets it", variant.name);
+                        Some(Script::parse(&changed, &with(&name, &text, set)?)?)
+                    }
                 });
             }
             study.played.push(Played { file, script, changed, gateways });
--- a/crates/rig/tests/sweep.rs
+++ b/crates/rig/tests/sweep.rs
@@ -90,8 +90,10 @@
     );
     wrong("file", "name = \"x\"\n[[script]]\nfile = \"gone.toml\"\n", &["gone.toml"]);
     wrong("key", "name = \"x\"\ncolour = 1\n[[script]]\nfile = \"day.toml\"\n", &["colour"]);
+    let twice = "name = \"x\"\n[[script]]\nfile = \"day.toml\"\n[[variant]]\nname = \"v\"\n[[variant]]\nname = \"v\"\n";
+    wrong("twice", twice, &["study.toml:7", "\"v\" is taken"]);
     let set = "name = \"x\"\n[[script]]\nfile = \"day.toml\"\n[[variant]]\nname = \"v\"\nset = [\"load.rate = -1\"]\n";
-    wrong("set", set, &["day.toml", "rate"]);
+    wrong("set", set, &["day.toml", "variant \"v\"", "rate"]);
     let set =
         "name = \"x\"\n[[script]]\nfile = \"day.toml\"\n[[variant]]\nname = \"v\"\nset = [\"load rate\"]\n";
     wrong("toml", set, &["day.toml", "load rate"]);
