--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -335,3 +335,61 @@
         || error.kind() == io::ErrorKind::OutOfMemory
         || matches!(error.raw_os_error(), Some(ENFILE | EMFILE | ENOBUFS))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::sockets::Budget;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+
+    /// The load report that is read from an answer with this head, and the outcome.
+    async fn heard(status: &str, head: &str) -> (Outcome, Option<LoadReport>) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let answer = format!("HTTP/1.1 {status}\r\n{head}Content-Length: 2\r\n\r\nok");
+        let host = async {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let _ = stream.read(&mut [0; 4096]).await;
+            stream.write_all(answer.as_bytes()).await.expect("an answer");
+            stream
+        };
+        let settings = r#"{"stats":{"how":"inline","fields":["throughput","outstanding"]}}"#;
+        let fields = ReportFields::parse(settings).expect("settings");
+        let (dial, keep) = (Duration::from_secs(5), Duration::from_secs(10));
+        let pool = Pool::new(Budget::new(&Default::default()).hosts, dial, keep, fields);
+        let (method, uri) = (hyper::Method::GET, hyper::Uri::from_static("/look"));
+        let forward = Forward { method, uri, headers: HeaderMap::new(), body: Bytes::new() };
+        let attempt = Attempt {
+            host: Rc::new(Host {
+                id: HostId(0),
+                address: Cell::new(Some(address)),
+                takes_work: Cell::new(true),
+            }),
+            forward: Rc::new(forward),
+            until: Instant::now() + Duration::from_secs(10),
+            open: Rc::new(Cell::new(true)),
+            cancel: Rc::default(),
+        };
+        let (end, _host) = tokio::join!(pool.attempt(&attempt), host);
+        (end.outcome, end.load)
+    }
+
+    #[tokio::test]
+    async fn a_load_report_is_read_from_any_answer_and_a_bad_one_costs_nothing_else() {
+        let good = "X-Server-Load: TEXT throughput=27.5, outstanding=7\r\n";
+        let report = Some(LoadReport { qps: 27.5, inflight: 7.0 });
+        assert_eq!(heard("200 OK", good).await, (Outcome::Served, report));
+        assert_eq!(heard("500 Oops", good).await, (Outcome::Error, report));
+        let twice = good.repeat(2);
+        let bad = [
+            "",
+            "X-Server-Load: TEXT throughput=-1, outstanding=NaN\r\n",
+            "X-Server-Load: \u{e9}\r\n",
+            &twice,
+        ];
+        for head in bad {
+            assert_eq!(heard("200 OK", head).await, (Outcome::Served, None), "{head:?}");
+        }
+    }
+}
