Watch the list of hosts where it is pushed: no drain was ever heard of

At fault: Balancer::ask_later returns where the settings give no time to ask within, and core/mod.rs opened a watch on Action::Subscribe only, so a gateway whose lists are pushed lived on the list of its configuration.

Where discovery is asked nothing changes.

Tests: a drain is heard of where lists are pushed, and the twentieth watch is opened as the first was; both fail without the change.

--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -58,8 +58,14 @@
 enum Timer {
     Module(u64),
     Backstop(RequestId),
+    Watch,
 }
 
+/// Where lists are pushed, a watch that ended is opened again after the first of these, then after twice as long
+/// each time up to the second. The agent is on this machine and answers at no cost, and what it has been sent counts as
+/// told at once: rule 3 leaves 300 ms at the strictest place.
+const REOPEN: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(80));
+
 /// Reports how an attempt ended, also where its task panics: the request may have run by then.
 struct Report {
     gateway: Handle,
@@ -88,6 +94,7 @@
     version: u64,
     watch: u64,
     watching: Option<JoinHandle<()>>,
+    lost: u32, // watches in a row that ended without a word
     hosts: Vec<Rc<Host>>,
     listed: Vec<ottervane::Host>,
     host_ids: FxHashMap<String, HostId>,
@@ -120,6 +127,7 @@
             version: 0,
             watch: 0,
             watching: None,
+            lost: 0,
             hosts: Vec::new(),
             listed: Vec::new(),
             host_ids: FxHashMap::default(),
@@ -184,8 +192,17 @@
         }
     }
 
+    /// Whether host news come unasked. Then the watch is the gateway's own affair: the module asks only where asking
+    /// has a price.
+    fn pushed(&self) -> bool {
+        self.settings.ask_within.is_none()
+    }
+
     /// Runs for as long as the process does.
     pub async fn run(mut self) {
+        if self.pushed() {
+            self.subscribe();
+        }
         loop {
             let next = self.timers.peek().map(|Reverse((at, _))| *at);
             let timer = async {
@@ -212,6 +229,7 @@
             match self.timers.pop() {
                 Some(Reverse((_, Timer::Module(token)))) => self.decide(Event::Timer { token }),
                 Some(Reverse((_, Timer::Backstop(id)))) => self.backstop(id),
+                Some(Reverse((_, Timer::Watch))) => self.subscribe(),
                 None => {}
             }
         }
@@ -287,25 +305,45 @@
                 self.forget_if_done(request);
             }
             // What a watch said before it was ended may wait here still: it is no news of the present discovery.
-            Message::Hosts { watch, list } if watch == self.watch => self.learn(list),
+            Message::Hosts { watch, list } if watch == self.watch => {
+                self.lost = 0;
+                self.learn(list);
+            }
             Message::DiscoveryFailed { watch } if watch == self.watch => self.lose_watch(),
             Message::Hosts { .. } | Message::DiscoveryFailed { .. } => {}
             Message::Discovery(address) => self.rediscover(address),
         }
     }
 
-    /// Ends the watch, if there is one, and has the module decide when to begin the next.
+    /// Ends the watch, if there is one. When to begin the next is for the module to decide, or, where lists are pushed,
+    /// soon.
     fn lose_watch(&mut self) {
         let Some(watching) = self.watching.take() else { return };
         watching.abort();
         self.watch += 1; // nobody has this number, so whatever the old one still has to say is late
-        self.decide(Event::DiscoveryFailed);
+        if self.pushed() {
+            let after = (REOPEN.0 * 2u32.saturating_pow(self.lost)).min(REOPEN.1);
+            self.lost = self.lost.saturating_add(1);
+            self.timers.push(Reverse((Instant::now() + after, Timer::Watch)));
+        } else {
+            self.decide(Event::DiscoveryFailed);
+        }
+    }
+
+    /// Begins a watch from the version held, in place of the one before.
+    fn subscribe(&mut self) {
+        self.watch += 1;
+        let (since, gateway, quiet) = (self.version, self.handle.clone(), self.lost > 1);
+        let watching = spawn_local(watch(self.discovery, since, self.watch, quiet, gateway));
+        if let Some(before) = self.watching.replace(watching) {
+            before.abort();
+        }
     }
 
     /// Turns to another discovery. Its versions are its own, so the whole list is asked for.
     fn rediscover(&mut self, address: SocketAddr) {
         if address != self.discovery {
-            (self.discovery, self.version) = (address, 0);
+            (self.discovery, self.version, self.lost) = (address, 0, 0);
             self.lose_watch();
         }
     }
@@ -419,7 +457,7 @@
         }
         self.requests.retain(|_, entry| entry.out > 0);
         self.numbers = self.requests.values().map(|entry| entry.number.clone()).collect();
-        self.timers.clear();
+        self.timers.retain(|Reverse((_, timer))| *timer == Timer::Watch);
         self.balancer = Balancer::new(self.settings.clone(), self.seed);
         let (mut actions, now) = (Vec::new(), self.handle.time(Instant::now()));
         // Another panic is not caught: a module that cannot take the list in serves nobody, so the process ends.
@@ -453,14 +491,7 @@
                 self.decide(Event::Probed { host, outcome, latency });
             }
             Action::Close { host } => self.pool.close(host),
-            Action::Subscribe => {
-                self.watch += 1;
-                let (since, gateway) = (self.version, self.handle.clone());
-                let watching = spawn_local(watch(self.discovery, since, self.watch, gateway));
-                if let Some(before) = self.watching.replace(watching) {
-                    before.abort();
-                }
-            }
+            Action::Subscribe => self.subscribe(),
         }
     }
 
--- a/crates/gateway/src/discovery/watch.rs
+++ b/crates/gateway/src/discovery/watch.rs
@@ -52,10 +52,11 @@
 }
 
 /// Watches the list from version `since` on until that fails; the gateway counts its watches, and this is number
-/// `watch`.
-pub async fn watch(address: SocketAddr, since: u64, watch: u64, gateway: Handle) {
+/// `watch`. A `quiet` one says nothing of why it failed: those before it have said it.
+pub async fn watch(address: SocketAddr, since: u64, watch: u64, quiet: bool, gateway: Handle) {
     let ended = Ended { gateway, watch };
-    if let Err(error) = follow(address, since, watch, &ended.gateway).await {
+    let failed = follow(address, since, watch, &ended.gateway).await;
+    if let Some(error) = failed.err().filter(|_| !quiet) {
         eprintln!("discovery: watch on {address} from version {since}: {error}");
     }
 }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -319,6 +319,45 @@
     assert_eq!(draining.count() + missing.count(), before);
 }
 
+/// Settings under which discovery pushes its lists: the module asks for nothing then.
+fn pushed(discovery: &ScriptedRegister, known: &[Value]) -> Value {
+    let mut text = config(&discovery.address.to_string(), 1024, known);
+    text["settings"]["discovery"] = json!("push");
+    text
+}
+
+#[test]
+fn hears_of_a_drain_where_lists_are_pushed() {
+    let [draining, other] = [(); 2].map(|()| ScriptedNode::start(|_| Reply::ok("ok")));
+    let discovery = ScriptedRegister::start();
+    let text = pushed(&discovery, &[draining.entry("s-1", 1)]);
+    let gateway = Gateway::start_with(&PROGRAM, "pushed-drain", &discovery, &text);
+    let leaving = entry("s-1", &draining.address.to_string(), 1, "leaving");
+    discovery.push(json!({"index": 42, "snapshot": false, "endpoints": [leaving, other.entry("s-2", 1)]}));
+    wait_for("the list to be known", || gateway.ask("look").status() == 200 && other.count() > 0);
+    let before = draining.count();
+    for _ in 0..20 {
+        assert_eq!(gateway.ask("look").status(), 200);
+    }
+    assert_eq!(draining.count(), before);
+}
+
+#[test]
+fn watches_again_and_again_where_lists_are_pushed() {
+    let host = ScriptedNode::start(|_| Reply::ok("ok"));
+    let discovery = ScriptedRegister::start();
+    let text = pushed(&discovery, &[host.entry("s-1", 1)]);
+    let gateway = Gateway::start_with(&PROGRAM, "pushed-again", &discovery, &text);
+    // More often than the wait between two watches doubles: it must not go on growing, nor ever end.
+    for round in 0..20 {
+        wait_for("a watch", || discovery.calls() > round);
+        discovery.hang_up();
+    }
+    wait_for("a watch", || discovery.calls() > 20);
+    discovery.push(json!({"index": 57, "snapshot": true, "endpoints": []}));
+    wait_for("the list to be known", || gateway.ask("look").status() != 200);
+}
+
 #[test]
 fn follows_a_host_to_its_new_address() {
     let [old, new] = [(); 2].map(|()| ScriptedNode::start(|_| Reply::ok("ok")));
--- a/crates/rig/src/scripted.rs
+++ b/crates/rig/src/scripted.rs
@@ -15,7 +15,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
@@ -393,7 +393,11 @@
             return;
         }
         loop {
-            let line = lines.recv_timeout(Duration::from_millis(200)).unwrap_or_default() + "\n";
+            let line = match lines.recv_timeout(Duration::from_millis(200)) {
+                Ok(line) => line + "\n",
+                Err(RecvTimeoutError::Timeout) => "\n".to_owned(),
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
             let chunk = format!("{:x}\r\n{line}\r\n", line.len());
             let silent = self.silent.load(Ordering::SeqCst);
             if !silent && stream.write_all(chunk.as_bytes()).is_err() {
@@ -408,6 +412,11 @@
         self.calls.lock().expect("lock").len()
     }
 
+    /// Ends every watch there is.
+    pub fn hang_up(&self) {
+        self.lines.lock().expect("lock").clear();
+    }
+
     /// Waits for the watch, then writes a line to it.
     pub fn push(&self, list: Value) {
         wait_for("a watch", || self.calls() > 0);
