--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -40,6 +40,20 @@
 /// A host that served RUNS a second and reports less than this part of it begins anew: it may be cold.
 const ANEW: f64 = 0.2;
 const RUNS: f64 = 1.0;
+/// Where live weights tell what hosts hold, what is out is bounded so that they hold about FULL a core: more earns
+/// nothing, and a host that is crowded for some seconds slows down. The lists are a second old, so the bound is what
+/// was out over CROWD_S per request listed in that time, and AHEAD of a host's share besides, to grow from. Not
+/// by lists older than STALE_S.
+const FULL: f64 = 1.6;
+const CROWDED_MOST: f64 = 20.0; // what a core holds at most, as far as it counts
+const EMPTY: f64 = 0.2; // under this the lists say too little of it
+const CROWD_S: f64 = 4.0;
+const AHEAD: f64 = 0.25;
+const STALE_S: f64 = 3.0;
+/// Once hosts are so much crowded, or requests end unserved so often, one that by its hint takes longer than there is
+/// is refused: it would only keep others from being served. PACE is the part of requests that are faster by their hints.
+const HOPELESS: f64 = 0.3;
+const PACE: f64 = 0.4;
 const SLACK: f64 = 1.0;
 const ENOUGH: f64 = 20.0; // least requests that the rates of served and lost average: few come at size
 const HOLD_S: f64 = 0.015; // a request for which no host is ready is looked at again after so many seconds
@@ -144,6 +158,7 @@
     report: Option<(api::LoadReport, f64)>, // its last load report and when that was heard
     held: f64, // what it reports to hold and to serve a second, all gateways together
     qps: f64,
+    nominal: f64, // the largest live weight that it was listed with: that of an idle one
 }
 
 /// Failures in a row of one class at one host: how many, the first and the last.
@@ -168,6 +183,7 @@
     class: usize,
     key: Option<u64>,
     work: f64,     // expected work, relative to the mean request
+    hint: f64,     // what the client says of it, in seconds; 0 for nothing
     worth_by: f64, // after this nothing can be earned
     turn: f64, // when it may first be sent for its key's sake; without end while an earlier one has the turn
     open: bool,
@@ -217,13 +233,16 @@
 struct Traffic {
     served: Rate, // requests let in that were served in time, and those that ended unserved
     lost: Rate,
-    late: f64,    // how much of LATE is lost, at most 1
+    late: f64,  // how much of LATE is lost, at most 1
+    crowd: f64, // requests held a core over all hosts, as listed, and what was out, over the same while
+    meant: f64,
     warm: Rate,   // served by one warm host
     out: f64,     // requests with an attempt out
     ease: f64,    // how little hosts report to hold, from 0 to 1
     latency: f64, // mean latency of all requests and of each class, mean hint and mean worth
     class_latency: Vec<f64>,
     hint: f64,
+    pace: f64, // quantile PACE of latency over hint
     worth: f64,
 }
 
@@ -243,7 +262,8 @@
     traffic: Traffic,
     spare: f64, // retries and second copies that may be made now
     upkept: f64,
-    age: f64,     // seconds since the first event
+    age: f64,           // seconds since the first event
+    listed: (f64, f64), // requests held a core, as the last list with live weights has it, and when that came
     asking: bool, // discovery: an answer is awaited; calls failed in a row, below 0 before the first list
     asks_failed: i32,
     closing: bool, // A timer for closing on drains is set
@@ -269,6 +289,7 @@
             spare: 1.0,
             upkept: f64::NEG_INFINITY,
             age: 0.0,
+            listed: (0.0, f64::NEG_INFINITY),
             asking: false,
             asks_failed: -1,
             closing: false,
@@ -404,9 +425,35 @@
             let h = &mut self.hosts[i];
             h.size = (h.entry.weight * self.ready.len() as f64 / weights).clamp(0.1, 10.0);
         }
+        if self.set.weights == Weights::Live && !list.is_empty() {
+            self.listed = (self.crowding(), now);
+        }
         self.upkeep(now);
     }
 
+    /// How many requests a core holds, over all ready hosts, by their live weights: nominal size / (1 + held a core).
+    /// Hosts of one kind have one size, so that one which nobody has seen idle is read by its like.
+    fn crowding(&mut self) -> f64 {
+        let mut sizes: FxHashMap<u32, f64> = FxHashMap::default();
+        for h in &mut self.hosts {
+            h.nominal = h.nominal.max(h.entry.weight);
+            let size = sizes.entry(h.entry.kind).or_default();
+            *size = size.max(h.nominal);
+        }
+        let (mut held, mut all) = (0.0, 0.0);
+        for h in self.ready.iter().map(|&i| &self.hosts[i]) {
+            let (size, weight) = (sizes[&h.entry.kind], h.entry.weight);
+            if weight > 0.0 && size.is_finite() {
+                (held, all) = (held + size * (size / weight - 1.0).min(CROWDED_MOST), all + size);
+            }
+        }
+        if all > 0.0 {
+            held / all
+        } else {
+            0.0
+        }
+    }
+
     fn ask_later(&mut self, actions: Out) {
         let Some(within) = self.set.ask_within else { return };
         let most = within.as_secs_f64() * (0.1 * 2f64.powi(self.asks_failed.clamp(1, 3) + 1)).min(0.8);
@@ -462,6 +509,8 @@
         if dt > 0.0 {
             let t = &mut self.traffic;
             let long = (RATE_S / 2.0).max(ENOUGH / (t.served.per_s + t.lost.per_s).max(0.1));
+            t.crowd += gain(CROWD_S) * (self.listed.0 - t.crowd);
+            t.meant += gain(CROWD_S) * (t.out - t.meant);
             t.served.fold(dt, gain(long));
             t.lost.fold(dt, gain(long));
             t.late = (t.lost.per_s / (t.lost.per_s + t.served.per_s).max(1e-9) / LATE).min(1.0);
@@ -529,7 +578,14 @@
         let fits = t.served.per_s * self.aims.0 * (1.0 - (1.0 - TIGHT) * t.late * slow);
         let chance = CHANCE.0 + (CHANCE.1 - CHANCE.0) * t.ease;
         let slack = SLACK * self.ready.len() as f64 / f64::from(self.set.gateways.max(1));
-        if t.out > (fits + chance * fits.sqrt() + slack) * (class.worth / t.worth).powf(0.25) * r.allowance {
+        let mut room = fits + chance * fits.sqrt() + slack;
+        let mut strain = t.late;
+        if now - self.listed.1 < STALE_S {
+            room = room.min((FULL * t.meant / t.crowd.max(EMPTY) + AHEAD * slack).max(slack));
+            strain = strain.max(t.crowd / FULL);
+        }
+        let hopeless = hint * t.pace > worth_by - now && strain > HOPELESS;
+        if hopeless || t.out > room * (class.worth / t.worth).powf(0.25) * r.allowance {
             return actions.push(Action::Refuse { request: r.id, keep_away: self.set.max_keep_away });
         }
         self.spare = (self.spare + COPY_SHARE).min(1.0);
@@ -540,7 +596,8 @@
             turns.queue.push_back(r.id.0);
         }
         let (class, key, attempts) = (r.class, r.key, Vec::new());
-        self.requests.insert(r.id.0, Request { class, key, work, worth_by, turn, open: true, attempts });
+        self.requests
+            .insert(r.id.0, Request { class, key, work, hint, worth_by, turn, open: true, attempts });
         self.with(now, r.id, actions, |me, req, actions| me.advance(now, r.id, req, actions));
     }
 
@@ -665,6 +722,11 @@
                 follow(&mut t.class_latency[class], y);
                 self.observe(now, host, y / work);
                 follow(&mut self.traffic.latency, y);
+                if req.hint > 0.0 {
+                    let (pace, x) = (&mut self.traffic.pace, y / req.hint);
+                    let step = PACE - f64::from(u8::from(x < *pace));
+                    *pace = if *pace > 0.0 { *pace * (1.0 + SPREAD_GAIN * step) } else { x };
+                }
             }
             Outcome::Cancelled if y / work > h.e => self.observe(now, host, y / work),
             Outcome::Cancelled | Outcome::NotSent => {}
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -440,3 +440,73 @@
     let mut bench = Bench::new(Settings { cold_from: 1.0, ..settings() }, 4);
     assert!(bench.request(0, None).is_some());
 }
+
+/// Four hosts whose live weights, listed every 500 ms for 10 s, say that a core holds `held` requests.
+fn listed(held: f64) -> Bench {
+    let mut bench = Bench::new(Settings { gateways: 3, weights: Weights::Live, ..settings() }, 4);
+    let list = |held: f64| -> Vec<Host> {
+        (0..4).map(|i| Host { zone: 0, weight: 6.0 / (1.0 + held), ..host(i, None) }).collect()
+    };
+    bench.give(Event::Hosts { full: true, hosts: &list(0.0) }); // seen idle once
+    for _ in 0..20 {
+        bench.give(Event::Hosts { full: false, hosts: &list(held) });
+        bench.serve(25, |_| 20);
+    }
+    bench
+}
+
+#[test]
+fn fewer_are_let_in_at_once_where_live_weights_say_that_hosts_are_crowded() {
+    let (idle, crowded) = (let_in(listed(0.1)), let_in(listed(4.0)));
+    assert!(crowded < idle, "{crowded} in place of {idle}");
+    // A host's share is always let in: a gateway that starts among crowded ones must be able to grow.
+    assert!(crowded >= 1);
+}
+
+#[test]
+fn lists_that_no_longer_come_say_nothing_of_crowding() {
+    let mut silent = listed(4.0);
+    let crowded = let_in(listed(4.0));
+    for _ in 0..200 {
+        silent.serve(1, |_| 20); // four seconds, and no list
+    }
+    assert!(let_in(silent) > crowded);
+}
+
+#[test]
+fn live_weights_that_are_none_are_passed_over() {
+    for weight in [0.0, -1.0, f64::NAN, f64::INFINITY] {
+        let mut bench = listed(0.1);
+        let strange: Vec<Host> = (0..4).map(|i| Host { zone: 0, weight, ..host(i, None) }).collect();
+        for _ in 0..20 {
+            bench.give(Event::Hosts { full: false, hosts: &strange });
+            bench.serve(25, |_| 20);
+        }
+        assert!(let_in(bench) >= let_in(listed(0.1)), "with a weight of {weight}");
+    }
+}
+
+#[test]
+fn what_by_its_hint_cannot_be_done_in_time_is_refused_once_hosts_are_crowded() {
+    let ask = |held: f64, hint_ms: u64| {
+        let mut bench = listed(held);
+        // Latencies of 20 ms at hints of 20 ms: a host takes as long as the hint says.
+        for _ in 0..100 {
+            hinted(&mut bench, 20);
+            assert!(bench.sent_to().is_some());
+            bench.now += Duration::from_millis(20);
+            bench.outcome(bench.id, 0, Duration::from_millis(20), Outcome::Served);
+        }
+        hinted(&mut bench, hint_ms);
+        bench.sent_to().is_some()
+    };
+    assert!(ask(4.0, 150), "half of its aim of 300 ms");
+    assert!(!ask(4.0, 900), "three times its aim");
+    assert!(ask(0.1, 900), "nobody waits for it");
+}
+
+fn hinted(bench: &mut Bench, ms: u64) {
+    bench.id += 1;
+    let request = Request::new(RequestId(bench.id), 0, bench.now + Duration::from_secs(1));
+    bench.give(Event::Request(Request { cost_hint: Some(Duration::from_millis(ms)), ..request }));
+}
