Let the bound on crowding follow faster and the pace of hints slower

Checked by a trace of the module's view twice a second: the mean crowd stands at 1.5 a core for five seconds after the list has fallen to 0.5, and the quantile of latency over hint moves between 0.5 and 5 within seconds, following the queues. At fault: CROWD_S of 4 s, and the pace's step at the gain of a tenth.

Changed: means over 2.5 s; the pace moves a fifth as quick.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -47,13 +47,14 @@
 const FULL: f64 = 1.6;
 const CROWDED_MOST: f64 = 20.0; // what a core holds at most, as far as it counts
 const EMPTY: f64 = 0.2; // under this the lists say too little of it
-const CROWD_S: f64 = 4.0;
+const CROWD_S: f64 = 2.5;
 const AHEAD: f64 = 0.25;
 const STALE_S: f64 = 3.0;
 /// Once hosts are so much crowded, or requests end unserved so often, one that by its hint takes longer than there is
 /// is refused: it would only keep others from being served. PACE is the part of requests that are faster by their hints.
 const HOPELESS: f64 = 0.3;
 const PACE: f64 = 0.4;
+const PACE_GAIN: f64 = 0.02; // slow, or it follows the queues of the moment in place of the hosts
 const SLACK: f64 = 1.0;
 const ENOUGH: f64 = 20.0; // least requests that the rates of served and lost average: few come at size
 const HOLD_S: f64 = 0.015; // a request for which no host is ready is looked at again after so many seconds
@@ -727,7 +728,7 @@
                 if req.hint > 0.0 {
                     let (pace, x) = (&mut self.traffic.pace, y / req.hint);
                     let step = PACE - f64::from(u8::from(x < *pace));
-                    *pace = if *pace > 0.0 { *pace * (1.0 + SPREAD_GAIN * step) } else { x };
+                    *pace = if *pace > 0.0 { *pace * (1.0 + PACE_GAIN * step) } else { x };
                 }
             }
             Outcome::Cancelled if y / work > h.e => self.observe(now, host, y / work),
