Decide in a module of its own when a pushed watch is opened again, and what is logged

Seen on reading the change once more: the wait between two watches was decided in core, which is to decide nothing; any word from the agent reset it, so one that takes connections, answers and ends them was asked 200 times a second with a log line each; and the line named neither the setting nor the way out.

Changed: ottervane-control::rewatch, sans I/O. A watch that lived a second held; one that ended sooner doubles the wait up to 80 ms whatever it said. Loss and return are logged once in 10 s at most, with the cause, how many did not last, what the gateway goes on with, and where the address stands. After SIGHUP the new address is asked at once. A property test plays agents that flap in any way: waits stay within 5 to 80 ms, lines within two in 10 s.

--- /dev/null
+++ b/crates/control/src/rewatch.rs
@@ -0,0 +1,136 @@
+//! When a watch on pushed news of the hosts is opened again, and how much is said of its loss.
+//!
+//! Where lists are pushed, an agent on the gateway's own machine answers at once and at no cost, and what it has been sent
+//! counts as told at once. So the wait is short and bounded; but an agent that takes connections and ends them must
+//! cost neither the core nor the log.
+
+use std::time::Duration;
+
+/// The first wait after a watch that held.
+pub const FIRST: Duration = Duration::from_millis(5);
+/// The longest; a third of the strictest time in which a drain must be heeded (300 ms), with the way and the reading.
+pub const LONGEST: Duration = Duration::from_millis(80);
+/// A watch that lived so long held. One that ended sooner is a failed try, whatever it said.
+pub const HELD: Duration = Duration::from_secs(1);
+/// At most one loss, and one return, is reported in this time.
+pub const REPORT: Duration = Duration::from_secs(10);
+
+/// What follows from the loss of a watch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lost {
+    /// The next watch is opened after this time.
+    pub wait: Duration,
+    /// Whether an operator is to be told.
+    pub report: bool,
+    /// How many watches in a row did not hold, this one included where it did not.
+    pub failed: u32,
+}
+
+/// The watches of one gateway, one after another.
+#[derive(Clone, Debug, Default)]
+pub struct Rewatch {
+    opened: Duration,
+    failed: u32,
+    reported: Option<Duration>,
+    /// Since when news have been missing, once that was reported and until their return is.
+    missing: Option<Duration>,
+}
+
+impl Rewatch {
+    /// A watch is opened.
+    pub fn opened(&mut self, now: Duration) {
+        self.opened = now;
+    }
+
+    /// A word has come. For how long there had been none, where the loss was reported and the return was not.
+    pub fn heard(&mut self, now: Duration) -> Option<Duration> {
+        self.missing.take().map(|since| now.saturating_sub(since))
+    }
+
+    /// The watch has ended.
+    pub fn lost(&mut self, now: Duration) -> Lost {
+        self.failed = if now.saturating_sub(self.opened) >= HELD { 0 } else { self.failed.saturating_add(1) };
+        let report = self.reported.is_none_or(|at| now.saturating_sub(at) >= REPORT);
+        if report {
+            self.reported = Some(now);
+            self.missing.get_or_insert(now);
+        }
+        let doubled = FIRST * 2u32.saturating_pow(self.failed.min(16));
+        Lost { wait: doubled.min(LONGEST), report, failed: self.failed }
+    }
+
+    /// Another agent is asked from now on: what was learned of the one before says nothing of it.
+    pub fn turned(&mut self) {
+        self.failed = 0;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn ms(ms: u64) -> Duration {
+        Duration::from_millis(ms)
+    }
+
+    #[test]
+    fn a_watch_that_held_is_opened_again_at_once_and_one_that_did_not_ever_later() {
+        let mut watches = Rewatch::default();
+        watches.opened(ms(0));
+        assert_eq!(watches.lost(ms(60_000)), Lost { wait: FIRST, report: true, failed: 0 });
+        let mut now = ms(60_005);
+        let waits: Vec<Duration> = (0..6)
+            .map(|_| {
+                watches.opened(now);
+                let lost = watches.lost(now + ms(1));
+                now += ms(1) + lost.wait;
+                lost.wait
+            })
+            .collect();
+        assert_eq!(waits, [ms(10), ms(20), ms(40), LONGEST, LONGEST, LONGEST]);
+        watches.turned();
+        watches.opened(now);
+        assert_eq!(watches.lost(now).wait, ms(10), "another agent has not failed yet");
+    }
+
+    #[test]
+    fn a_return_is_reported_once_and_only_after_a_loss_that_was() {
+        let mut watches = Rewatch::default();
+        watches.opened(ms(0));
+        assert_eq!(watches.heard(ms(1)), None);
+        assert!(watches.lost(ms(5000)).report);
+        watches.opened(ms(5005));
+        assert!(!watches.lost(ms(5006)).report, "the same outage");
+        assert_eq!(watches.heard(ms(9000)), Some(ms(4000)));
+        assert_eq!(watches.heard(ms(9001)), None);
+        assert!(!watches.lost(ms(9002)).report);
+        assert_eq!(watches.heard(ms(9010)), None, "its loss was not told of");
+    }
+
+    proptest! {
+        /// An agent that takes every connection, says something and ends it, however it times that.
+        #[test]
+        fn no_agent_floods_the_log_or_keeps_the_core_busy(
+            lives in prop::collection::vec((0u64..3000, any::<bool>()), 1..400),
+        ) {
+            let mut watches = Rewatch::default();
+            let (mut now, mut lines, mut short) = (ms(0), 0u32, 0u32);
+            for (life, speaks) in lives {
+                watches.opened(now);
+                if speaks {
+                    lines += u32::from(watches.heard(now).is_some());
+                }
+                now += ms(life);
+                let lost = watches.lost(now);
+                lines += u32::from(lost.report);
+                prop_assert!(lost.wait >= FIRST && lost.wait <= LONGEST, "{:?}", lost.wait);
+                short = if ms(life) < HELD { short + 1 } else { 0 };
+                prop_assert!(short < 4 || lost.wait == LONGEST, "{short} short ones, {:?}", lost.wait);
+                now += lost.wait;
+            }
+            let most = 2 * (1 + (now.as_millis() / REPORT.as_millis()) as u32);
+            prop_assert!(lines <= most, "{lines} lines in {now:?}");
+        }
+    }
+}
--- a/crates/gateway/src/core/messages.rs
+++ b/crates/gateway/src/core/messages.rs
@@ -79,6 +79,8 @@
     DiscoveryFailed {
         /// Which.
         watch: u64,
+        /// Why.
+        why: String,
     },
 }
 
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -12,6 +12,7 @@
 use hyper::StatusCode;
 use messages::{Arrival, Final, Handle, Message};
 use ottervane::{Action, Balancer, Event, HostId, HostState, Outcome, RequestId, Settings};
+use ottervane_control::rewatch::{self, Rewatch};
 use ottervane_control::storm::{Answered, Arriving, Storm, StormSettings};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::Cell;
@@ -61,11 +62,6 @@
     Watch,
 }
 
-/// Where lists are pushed, a watch that ended is opened again after the first of these, then after twice as long
-/// each time up to the second. The agent is on this machine and answers at no cost, and what it has been sent counts as
-/// told at once: rule 3 leaves 300 ms at the strictest place.
-const REOPEN: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(80));
-
 /// Reports how an attempt ended, also where its task panics: the request may have run by then.
 struct Report {
     gateway: Handle,
@@ -94,7 +90,7 @@
     version: u64,
     watch: u64,
     watching: Option<JoinHandle<()>>,
-    lost: u32, // watches in a row that ended without a word
+    rewatch: Rewatch,
     hosts: Vec<Rc<Host>>,
     listed: Vec<ottervane::Host>,
     host_ids: FxHashMap<String, HostId>,
@@ -127,7 +123,7 @@
             version: 0,
             watch: 0,
             watching: None,
-            lost: 0,
+            rewatch: Rewatch::default(),
             hosts: Vec::new(),
             listed: Vec::new(),
             host_ids: FxHashMap::default(),
@@ -229,7 +225,9 @@
             match self.timers.pop() {
                 Some(Reverse((_, Timer::Module(token)))) => self.decide(Event::Timer { token }),
                 Some(Reverse((_, Timer::Backstop(id)))) => self.backstop(id),
-                Some(Reverse((_, Timer::Watch))) => self.subscribe(),
+                // Another discovery may have been turned to meanwhile.
+                Some(Reverse((_, Timer::Watch))) if self.watching.is_none() => self.subscribe(),
+                Some(Reverse((_, Timer::Watch))) => {}
                 None => {}
             }
         }
@@ -306,35 +304,54 @@
             }
             // What a watch said before it was ended may wait here still: it is no news of the present discovery.
             Message::Hosts { watch, list } if watch == self.watch => {
-                self.lost = 0;
+                if let Some(silent) = self.rewatch.heard(self.handle.time(Instant::now())) {
+                    eprintln!("discovery: {} pushes news again, after {silent:.1?}", self.discovery);
+                }
                 self.learn(list);
             }
-            Message::DiscoveryFailed { watch } if watch == self.watch => self.lose_watch(),
+            Message::DiscoveryFailed { watch, why } if watch == self.watch => self.watch_failed(&why),
             Message::Hosts { .. } | Message::DiscoveryFailed { .. } => {}
             Message::Discovery(address) => self.rediscover(address),
         }
     }
 
-    /// Ends the watch, if there is one. When to begin the next is for the module to decide, or, where lists are pushed,
-    /// soon.
-    fn lose_watch(&mut self) {
-        let Some(watching) = self.watching.take() else { return };
+    /// The watch has ended by itself. When to begin the next is for the module to decide or, where lists are pushed, for
+    /// [`Rewatch`].
+    fn watch_failed(&mut self, why: &str) {
+        self.end_watch();
+        let (address, version) = (self.discovery, self.version);
+        if !self.pushed() {
+            eprintln!("discovery: watch on {address} from version {version}: {why}");
+            return self.decide(Event::DiscoveryFailed);
+        }
+        let now = Instant::now();
+        let lost = self.rewatch.lost(self.handle.time(now));
+        if lost.report {
+            eprintln!(
+                "discovery: watch on {address}: {why} ({} in a row lasted under {:?}). No news of drains and new hosts; going on with the list of version \
+                 {version} and trying again every {:?} at the latest. The address is `discovery` in the file that \
+                 ROUTER_CONFIG names; after a change there, send SIGHUP",
+                lost.failed,
+                rewatch::HELD,
+                rewatch::LONGEST
+            );
+        }
+        self.timers.push(Reverse((now + lost.wait, Timer::Watch)));
+    }
+
+    /// Ends the watch, if there is one; whether there was.
+    fn end_watch(&mut self) -> bool {
+        let Some(watching) = self.watching.take() else { return false };
         watching.abort();
         self.watch += 1; // nobody has this number, so whatever the old one still has to say is late
-        if self.pushed() {
-            let after = (REOPEN.0 * 2u32.saturating_pow(self.lost)).min(REOPEN.1);
-            self.lost = self.lost.saturating_add(1);
-            self.timers.push(Reverse((Instant::now() + after, Timer::Watch)));
-        } else {
-            self.decide(Event::DiscoveryFailed);
-        }
+        true
     }
 
     /// Begins a watch from the version held, in place of the one before.
     fn subscribe(&mut self) {
         self.watch += 1;
-        let (since, gateway, quiet) = (self.version, self.handle.clone(), self.lost > 1);
-        let watching = spawn_local(watch(self.discovery, since, self.watch, quiet, gateway));
+        self.rewatch.opened(self.handle.time(Instant::now()));
+        let watching = spawn_local(watch(self.discovery, self.version, self.watch, self.handle.clone()));
         if let Some(before) = self.watching.replace(watching) {
             before.abort();
         }
@@ -343,8 +360,14 @@
     /// Turns to another discovery. Its versions are its own, so the whole list is asked for.
     fn rediscover(&mut self, address: SocketAddr) {
         if address != self.discovery {
-            (self.discovery, self.version, self.lost) = (address, 0, 0);
-            self.lose_watch();
+            (self.discovery, self.version) = (address, 0);
+            self.rewatch.turned();
+            let ended = self.end_watch();
+            if self.pushed() {
+                self.subscribe();
+            } else if ended {
+                self.decide(Event::DiscoveryFailed);
+            }
         }
     }
 
--- a/crates/gateway/src/discovery/watch.rs
+++ b/crates/gateway/src/discovery/watch.rs
@@ -43,21 +43,22 @@
 struct Ended {
     gateway: Handle,
     watch: u64,
+    why: String,
 }
 
 impl Drop for Ended {
     fn drop(&mut self) {
-        self.gateway.tell(Message::DiscoveryFailed { watch: self.watch });
+        let why = std::mem::take(&mut self.why);
+        self.gateway.tell(Message::DiscoveryFailed { watch: self.watch, why });
     }
 }
 
 /// Watches the list from version `since` on until that fails; the gateway counts its watches, and this is number
-/// `watch`. A `quiet` one says nothing of why it failed: those before it have said it.
-pub async fn watch(address: SocketAddr, since: u64, watch: u64, quiet: bool, gateway: Handle) {
-    let ended = Ended { gateway, watch };
-    let failed = follow(address, since, watch, &ended.gateway).await;
-    if let Some(error) = failed.err().filter(|_| !quiet) {
-        eprintln!("discovery: watch on {address} from version {since}: {error}");
+/// `watch`.
+pub async fn watch(address: SocketAddr, since: u64, watch: u64, gateway: Handle) {
+    let mut ended = Ended { gateway, watch, why: "its task has panicked".to_owned() };
+    if let Err(error) = follow(address, since, watch, &ended.gateway).await {
+        ended.why = error.to_string();
     }
 }
 
