Book what an agent has been sent as told, so that the rig's ledger sees who never watched

Seen on taking mechanisms out once: with the watch on pushed lists removed, the new replay test still passed and the rig proved all rules.

Changed: where a script's news are pushed, the register books each change for every gateway when its agent has it, in virtual time and on sockets. With the watch removed both tests now fail with SentToDrained; a gateway that watches passes.

--- a/crates/gateway/tests/replay.rs
+++ b/crates/gateway/tests/replay.rs
@@ -103,14 +103,16 @@
     assert!(service(&report).is_none_or(|s| s > 0.85), "{}", report.to_text());
 }
 
-/// Where news are pushed, with live weights: the drain is heard of within its grace, and each list but adds a weight.
+/// Where news are pushed, with live weights. What the agents have counts as told: a gateway that never watched would go on
+/// sending to n06, which serves all day and is no longer listed.
 #[test]
 fn serves_and_drains_where_lists_are_pushed() {
     let head = "name = \"pushed\"\nlasts = \"5s\"\n[fleet]\ngateways = 2\nnodes = 8\nrack = 2\n[load]\nrate = 80\n\
                 [clients]\nhints = true\n[register]\npushed = true\nweights_every = \"300ms\"\nweights_late = \"100ms\"\n\
                 notice = [\"200ms\", \"400ms\"]\n";
-    let event = "[[event]]\nat = \"500ms\"\nwhat = \"drain\"\nnodes = [\"n01\", \"n02\"]\n";
-    let report = played("pushed", &format!("{head}{CLASSES}{event}"), None);
+    let events = "[[event]]\nat = \"500ms\"\nwhat = \"drain\"\nnodes = [\"n01\", \"n02\"]\n\
+                  [[event]]\nat = \"700ms\"\nlasts = \"300ms\"\nwhat = \"register-down\"\nwithout = [\"n06\"]\n";
+    let report = played("pushed", &format!("{head}{CLASSES}{events}"), None);
     assert!(service(&report).is_none_or(|s| s > 0.95), "{}", report.to_text());
     assert!(report.timeline.iter().any(|s| s.draining == 2), "{}", report.to_text());
 }
--- a/crates/rig/src/live/register.rs
+++ b/crates/rig/src/live/register.rs
@@ -70,6 +70,42 @@
         Ok(address)
     }
 
+    /// Where news are pushed, what an agent has been sent counts as told, whether or not its gateway reads it: books that
+    /// for as long as it runs.
+    pub async fn tell_agents(&self) {
+        if !self.day.script.register.pushed {
+            return;
+        }
+        let mut version = 1;
+        loop {
+            let now = self.day.clock.now();
+            if !self.model.borrow().is_down(now) {
+                let list = self.model.borrow().since(now, version);
+                version = list.version;
+                (0..self.day.gateways).for_each(|gateway| self.book(gateway, &list));
+            }
+            self.next_news(now).await;
+        }
+    }
+
+    /// Waits until the list changes or the register goes down or comes back.
+    async fn next_news(&self, now: Duration) {
+        let (change, turn) = {
+            let model = self.model.borrow();
+            (model.next_change(now), model.next_turn(now))
+        };
+        let due = async {
+            match change.into_iter().chain(turn).min() {
+                Some(at) => sleep_until(self.day.clock.instant(at)).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = due => {}
+            () = self.changed.notified() => {}
+        }
+    }
+
     /// A node has fallen over.
     pub fn fell(&self, node: usize, at: Duration) {
         self.model.borrow_mut().fell(node, at);
@@ -133,19 +169,8 @@
             }
             self.book(gateway, &list);
             said = true;
-            let (change, turn) = {
-                let model = self.model.borrow();
-                (model.next_change(now), model.next_turn(now))
-            };
-            let wake = async {
-                match change.into_iter().chain(turn).min() {
-                    Some(at) => sleep_until(self.day.clock.instant(at)).await,
-                    None => std::future::pending().await,
-                }
-            };
             tokio::select! {
-                _ = timeout(HEARTBEAT, wake) => {}
-                () = self.changed.notified() => {}
+                _ = timeout(HEARTBEAT, self.next_news(now)) => {}
                 more = wire.more() => if !more {
                     return;
                 }
@@ -159,12 +184,7 @@
     fn book(&self, gateway: usize, list: &List) {
         let (now, mut ledger) = (self.day.clock.now(), self.day.ledger.borrow_mut());
         for entry in &list.entries {
-            let told = match entry.status {
-                Status::Active => Told::Up(entry.started),
-                Status::Leaving => Told::Draining,
-                Status::Left => Told::Gone,
-            };
-            ledger.told(gateway, entry.node, now, told);
+            ledger.told(gateway, entry.node, now, entry.told());
         }
         if list.whole {
             let listed = |node: &usize| list.entries.iter().any(|e| e.node == *node);
--- a/crates/rig/src/register.rs
+++ b/crates/rig/src/register.rs
@@ -4,6 +4,7 @@
 //! over are added when they do. A version is a place on the timeline.
 
 use crate::draws::{Draws, For};
+use crate::ledger::Told;
 use crate::plan::met;
 use crate::script::{Script, What};
 use std::time::Duration;
@@ -30,6 +31,17 @@
     pub started: Option<Duration>,
 }
 
+impl Entry {
+    /// What a gateway that hears it has been told.
+    pub fn told(&self) -> Told {
+        match self.status {
+            Status::Active => Told::Up(self.started),
+            Status::Leaving => Told::Draining,
+            Status::Left => Told::Gone,
+        }
+    }
+}
+
 /// A change, told from a time on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Change {
--- a/crates/rig/src/replay.rs
+++ b/crates/rig/src/replay.rs
@@ -120,9 +120,9 @@
     day.clock.begin();
     let stall = Rc::new(Cell::new(Duration::ZERO));
     let pulse = spawn_local(feel_pulse(stall.clone()));
-    let weighing = spawn_local({
+    let telling = spawn_local({
         let register = register.clone();
-        async move { register.weigh().await }
+        async move { tokio::join!(register.weigh(), register.tell_agents()) }
     });
     let doing = spawn_local(carry_out(day.clone(), fleet.clone()));
     let sampling = spawn_local(sample(day.clone(), fleet.clone()));
@@ -142,7 +142,8 @@
         sleep(Duration::from_millis(20)).await;
     }
     clients.look_for_surplus();
-    [pulse, weighing, doing, sampling].iter().for_each(|task| task.abort());
+    telling.abort();
+    [pulse, doing, sampling].iter().for_each(|task| task.abort());
     let spent = Spent {
         gateways: cpu(&running).zip(gateways_before).map(|(now, then)| now.saturating_sub(then)),
         rig: own_cpu().zip(rig_before).map(|(now, then)| now.saturating_sub(then)),
--- a/crates/rig/src/simulate/mod.rs
+++ b/crates/rig/src/simulate/mod.rs
@@ -199,6 +199,8 @@
     register: Register,
     /// Each node's weight, as last told.
     weights: Vec<f64>,
+    /// The version that the gateways' agents have, where news are pushed.
+    agents: u64,
     ledger: Ledger,
     counts: Counts,
     timeline: Vec<Sample>,
@@ -317,6 +319,7 @@
             mean_worth: mean_worth(script),
             register: Register::new(script, draws),
             weights: vec![1.0; script.fleet.nodes],
+            agents: 1,
             ledger: ledger(script),
             counts: Counts::default(),
             timeline: Vec::new(),
--- a/crates/rig/src/simulate/register.rs
+++ b/crates/rig/src/simulate/register.rs
@@ -37,6 +37,9 @@
 
     pub(super) fn register_turns(&mut self) {
         let (down, way) = (self.register.is_down(self.now), self.script.network.same);
+        if self.script.register.pushed && !down {
+            self.tell_agents();
+        }
         for gateway in 0..self.gateways.len() {
             if !self.gateways[gateway].watching {
                 continue;
@@ -56,6 +59,21 @@
         self.await_register();
     }
 
+    /// What an agent has been sent counts as told, whether or not its gateway reads it.
+    fn tell_agents(&mut self) {
+        let list = self.register.since(self.now, self.agents);
+        self.agents = list.version;
+        for gateway in 0..self.minds() {
+            for entry in &list.entries {
+                self.ledger.told(gateway, entry.node, self.now, entry.told());
+            }
+            let listed = |node: &usize| list.entries.iter().any(|e| e.node == *node);
+            for node in (0..self.nodes.len()).filter(|n| list.whole && !listed(n)) {
+                self.ledger.told(gateway, node, self.now, Told::Gone);
+            }
+        }
+    }
+
     /// A gateway hears a list.
     pub(super) fn tell(&mut self, gateway: usize, list: List) {
         if list.version < self.gateways[gateway].version {
@@ -77,12 +95,7 @@
                 Some(known) => *known = host.clone(),
                 None => g.hosts.push(host.clone()),
             }
-            let told = match entry.status {
-                Status::Active => Told::Up(entry.started),
-                Status::Leaving => Told::Draining,
-                Status::Left => Told::Gone,
-            };
-            self.ledger.told(gateway, entry.node, self.now, told);
+            self.ledger.told(gateway, entry.node, self.now, entry.told());
         }
         if let Some(storm) = &mut g.storm {
             let up = g.hosts.iter().filter(|h| h.state == HostState::Up);
