Let a script state its drain grace, and hold the ledger and the settings to it

Need: the refund office stops sends within 300 ms of a drain, and the rig proved 2 s whatever a script said. Changed: limits.drain_grace (2 s) goes into the settings and the ledger's rule.

--- a/crates/rig/src/replay.rs
+++ b/crates/rig/src/replay.rs
@@ -177,7 +177,7 @@
         gateways: day.gateways,
         nodes: day.script.fleet.nodes,
         service: unsound.is_none().then(|| service(&day.script, &tallies)),
-        breaches: ledger.breaches(Rules::sockets()),
+        breaches: ledger.breaches(Rules { drain_grace: day.script.limits.drain_grace, ..Rules::sockets() }),
         unsound,
         counts: day.counts.get(),
         lateness: Some(lateness),
--- a/crates/rig/src/script/mod.rs
+++ b/crates/rig/src/script/mod.rs
@@ -215,6 +215,8 @@
     pub retry_after: Option<Duration>,
     /// A connection that is not up by then never will be.
     pub dial: Duration,
+    /// Nothing new goes to a node so long after its gateway was told that it drains or is gone.
+    pub drain_grace: Duration,
 }
 
 /// Which nodes an event meets.
@@ -406,7 +408,7 @@
             "safety": {
                 "ask_within_s": 10.0, "cold_from": coldest, "cold_s": longest.as_secs_f64(),
                 "fall_s": spec.fall_over.as_secs_f64(), "grace_to_answer_s": 0.02,
-                "overload_factor": spec.fall_at, "stop_sending_within_s": 2.0,
+                "overload_factor": spec.fall_at, "stop_sending_within_s": self.limits.drain_grace.as_secs_f64(),
             },
             "stats": {"fields": ["qps", "inflight"], "how": "inline"},
             "tier": 0, "tiers": ["booking"], "weight_source": if self.register.weights.is_some() { "live" } else { "off" },
--- a/crates/rig/src/script/read.rs
+++ b/crates/rig/src/script/read.rs
@@ -336,6 +336,7 @@
         attempts: t.within("attempts", 1..=100, 6),
         retry_after: t.get("retry_after"),
         dial: t.within("dial", ms(1)..=ms(60_000), ms(100)),
+        drain_grace: t.within("drain_grace", ms(1)..=ms(60_000), ms(2000)),
     })
 }
 
--- a/crates/rig/tests/scripts.rs
+++ b/crates/rig/tests/scripts.rs
@@ -165,7 +165,7 @@
 #[test]
 fn pushed_news_reach_gateways_that_never_ask() {
     let text = "name = \"p\"\nlasts = \"8s\"\n[load]\nrate = 100\n[register]\npushed = true\nnotice = [\"100ms\", \"200ms\"]\n\
-                weights_every = \"500ms\"\n[[event]]\nat = \"1s\"\nwhat = \"drain\"\nnodes = [\"n01\", \"n02\"]\n\
+                weights_every = \"500ms\"\n[limits]\ndrain_grace = \"300ms\"\n[[event]]\nat = \"1s\"\nwhat = \"drain\"\nnodes = [\"n01\", \"n02\"]\n\
                 [[event]]\nat = \"2s\"\nlasts = \"2s\"\nwhat = \"register-down\"\n\
                 [[event]]\nat = \"3s\"\nwhat = \"kill\"\nnodes = [\"n03\"]\n";
     let report = run(&script(text), 1);
