Move the log to tracing, as text or as JSON, and say a failing accept once

Changed: tracing with tracing-subscriber; [log] format in the operator's file, text without it; the rig reads the address from the new line. A listener whose accept fails said so 200 times a second; it says so once until one succeeds.

--- a/crates/gateway/benches/per_request.rs
+++ b/crates/gateway/benches/per_request.rs
@@ -5,6 +5,7 @@
 //!
 //!     cargo bench -p ottervane-gateway [-- ROUNDS]
 
+use ottervane_rig::live::gateways::listening;
 use ottervane_rig::live::http::{Connection, Kind};
 use ottervane_rig::script::Script;
 use ottervane_rig::scripted::ScriptedRegister;
@@ -75,7 +76,7 @@
     command.env("ROUTER_CONFIG", &file).env_remove("ROUTER_LISTEN").env_remove("ROUTER_DISCOVERY");
     let mut child = command.stderr(Stdio::piped()).spawn().expect("the built gateway");
     let mut log = BufReader::new(child.stderr.take().expect("a log")).lines().map_while(Result::ok);
-    let address = log.find_map(|l| l.strip_prefix("listening on ").map(str::to_owned)).expect("an address");
+    let address = log.find_map(|l| listening(&l)).expect("an address");
     std::thread::spawn(move || log.for_each(|line| eprintln!("gateway: {line}")));
     (child, address.parse().expect("an address"))
 }
--- a/crates/gateway/src/config/operator.rs
+++ b/crates/gateway/src/config/operator.rs
@@ -1,5 +1,6 @@
 //! The operator's file: a table for each subsystem. One with no table is off and costs nothing.
 
+use crate::daemon::log::Format;
 use ottervane_control::storm::StormSettings;
 use ottervane_settings::{Document, Problems};
 use std::path::Path;
@@ -25,6 +26,8 @@
 pub struct Operator {
     /// Storm control, where it is on.
     pub storm: Option<StormSettings>,
+    /// How the log is worded.
+    pub log: Format,
 }
 
 impl Operator {
@@ -47,8 +50,9 @@
         let document = Document::parse(file, text)?;
         let root = document.root();
         let storm = root.table("storm").map(|table| StormSettings::read(&table));
+        let log = root.table("log").map(|table| Format::read(&table)).unwrap_or_default();
         root.finish();
-        document.check(Operator { storm })
+        document.check(Operator { storm, log })
     }
 }
 
@@ -62,6 +66,9 @@
         assert_eq!(Operator::parse("gateway.toml", shipped).expect("the shipped file"), Operator::default());
         let on = Operator::parse("g.toml", "[storm]\nbudget = 0.2\n").expect("a table for storms");
         assert_eq!(on.storm, Some(StormSettings { budget: 0.2, ..StormSettings::default() }));
+        let json = Operator::parse("g.toml", "[log]\nformat = \"json\"\n").expect("a table for the log");
+        assert_eq!(json.log, Format::Json);
+        assert!(Operator::parse("g.toml", "[log]\nformat = \"xml\"\n").is_err());
         let problems = Operator::parse("g.toml", "x = 1\n\n[tsl]\n").expect_err("two keys that nobody knows");
         let places: Vec<_> = problems.list.iter().map(|p| (p.line, p.key.as_str())).collect();
         assert_eq!(places, [(1, "x"), (3, "tsl")]);
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -25,6 +25,7 @@
 use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep_until, Instant};
+use tracing::{error, info, warn};
 
 /// A request that is open or has an attempt out.
 struct Entry {
@@ -184,7 +185,7 @@
 
     fn tell_storm(&mut self) {
         if let Some(change) = self.storm.as_mut().and_then(Storm::take_change) {
-            eprintln!("{change}");
+            info!("{change}");
         }
     }
 
@@ -305,7 +306,7 @@
             // What a watch said before it was ended may wait here still: it is no news of the present discovery.
             Message::Hosts { watch, list } if watch == self.watch => {
                 if let Some(silent) = self.rewatch.heard(self.handle.time(Instant::now())) {
-                    eprintln!("discovery: {} pushes news again, after {silent:.1?}", self.discovery);
+                    info!(address = %self.discovery, after = ?silent, "discovery: news are pushed again");
                 }
                 self.learn(list);
             }
@@ -321,19 +322,19 @@
         self.end_watch();
         let (address, version) = (self.discovery, self.version);
         if !self.pushed() {
-            eprintln!("discovery: watch on {address} from version {version}: {why}");
+            warn!(%address, version, why, "discovery: the watch has ended; it is asked again within seconds");
             return self.decide(Event::DiscoveryFailed);
         }
         let now = Instant::now();
         let lost = self.rewatch.lost(self.handle.time(now));
         if lost.report {
-            eprintln!(
-                "discovery: watch on {address}: {why} ({} in a row lasted under {:?}). No news of drains and new hosts; going on with the list of version \
-                 {version} and trying again every {:?} at the latest. The address is `discovery` in the file that \
-                 ROUTER_CONFIG names; after a change there, send SIGHUP",
-                lost.failed,
-                rewatch::HELD,
-                rewatch::LONGEST
+            warn!(
+                %address, version, why, failed = lost.failed,
+                "discovery: no news of drains and new hosts; going on with the list held and trying again every {:?} at the \
+                 latest. `failed` counts watches in a row that lasted under {:?}. The address is `discovery` in the file \
+                 that ROUTER_CONFIG names; after a change there, send SIGHUP",
+                rewatch::LONGEST,
+                rewatch::HELD
             );
         }
         self.timers.push(Reverse((now + lost.wait, Timer::Watch)));
@@ -473,7 +474,7 @@
     /// Begins anew with a module that knows the hosts only. The one that panicked may have left anything behind, and
     /// would leave what is held without an answer: all of that fails now.
     fn start_over(&mut self) {
-        eprintln!("the decision module has panicked: starting it anew");
+        error!("the decision module has panicked: what is held fails, and it starts anew");
         for entry in self.requests.values_mut() {
             entry.finish(Final::Failed(StatusCode::BAD_GATEWAY));
             entry.attempts.iter().for_each(|(_, cancel)| cancel.notify_one());
--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -1,5 +1,7 @@
 //! The process: start, wiring, reload, and the way out.
 
+pub mod log;
+
 use crate::config::operator::Operator;
 use crate::config::platform::Config;
 use crate::core::messages::{Handle, Message};
@@ -12,6 +14,7 @@
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
+use tracing::{error, info};
 
 /// Connections that the kernel holds for us: a burst must find room there.
 const BACKLOG: u32 = 4096;
@@ -29,10 +32,10 @@
     while hang_up.recv().await.is_some() {
         match Config::again() {
             Ok(config) => {
-                eprintln!("SIGHUP: discovery is at {}", config.discovery);
+                info!(discovery = %config.discovery, "SIGHUP: the file is read again");
                 gateway.tell(Message::Discovery(config.discovery));
             }
-            Err(error) => eprintln!("SIGHUP: going on as before: {error}"),
+            Err(error) => error!(%error, "SIGHUP: the file does not hold, going on as before"),
         }
     }
 }
@@ -44,6 +47,7 @@
 pub async fn serve(operator: Operator) -> Result<(), Box<dyn Error>> {
     // Before anything else: by default either signal ends the process.
     let (mut terminate, hang_up) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+    operator.log.begin();
     let config = Config::at_start()?;
     let budget = Budget::new(&config.limits);
     let (names, settings) = (Rc::new(config.names), config.settings.clone());
@@ -58,7 +62,7 @@
     gateway.learn(config.known);
     let reloading = reload(hang_up, handle.clone());
     let server = Rc::new(Server::new(handle, names, &settings, &budget));
-    eprintln!("listening on {}", listener.local_addr()?);
+    info!(address = %listener.local_addr()?, "listening");
     // These live and die with the process: a panic in one of them ends it, for it would be half alive.
     let running =
         async { tokio::join!(gateway.run(), pool.sweep(), server.feel_pulse(), server.sweep(), reloading) };
@@ -68,7 +72,7 @@
         () = server.clone().accept(&listener) => {}
         _ = terminate.recv() => {}
     }
-    eprintln!("SIGTERM: stopping");
+    info!("SIGTERM: stopping");
     let stopping = async {
         tokio::select! {
             () = server.clone().accept(&listener) => {}
--- a/crates/gateway/src/listeners/http.rs
+++ b/crates/gateway/src/listeners/http.rs
@@ -27,6 +27,7 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::task::spawn_local;
 use tokio::time::{timeout, timeout_at, Instant};
+use tracing::error;
 
 /// A client that keeps a connection idle for so long loses it.
 const IDLE: Duration = Duration::from_secs(75);
@@ -191,6 +192,7 @@
     /// for anything but a connection or, with every last descriptor in use, the end of one. Idle connections are
     /// closed once there is somebody who needs their place, and not before: a close may cross a request.
     pub async fn accept(self: Rc<Self>, listener: &TcpListener) {
+        let mut failing = false; // said once, until one succeeds
         loop {
             let Some(slot) = self.clients.take().or_else(|| self.overflow.take()) else {
                 self.close_idle();
@@ -199,9 +201,14 @@
                 continue;
             };
             let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
+                Ok((stream, _)) => {
+                    failing = false;
+                    stream
+                }
                 Err(error) => {
-                    eprintln!("accept: {error}");
+                    if !std::mem::replace(&mut failing, true) {
+                        error!(%error, "no connection can be accepted; trying again every 5 ms");
+                    }
                     tokio::time::sleep(Duration::from_millis(5)).await;
                     continue;
                 }
--- a/crates/rig/src/live/gateways.rs
+++ b/crates/rig/src/live/gateways.rs
@@ -15,6 +15,12 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
+/// The address that a gateway's log says it listens on, where the line does.
+pub fn listening(line: &str) -> Option<String> {
+    let (_, address) = line.split_once(" listening address=")?;
+    Some(address.trim().to_owned())
+}
+
 /// No start takes so long, on whatever machine.
 const LONG: Duration = Duration::from_secs(30);
 
@@ -118,7 +124,7 @@
         };
         let mut lines = BufReader::new(errors).lines();
         while let Ok(Some(line)) = lines.next_line().await {
-            let address = line.strip_prefix("listening on ").and_then(|a| a.parse().ok());
+            let address = listening(&line).and_then(|a| a.parse().ok());
             if let Some(address) = address {
                 // Whatever it writes from here on is read, or its log would fill the pipe and stop it.
                 spawn_local(async move { while let Ok(Some(_)) = lines.next_line().await {} });
--- a/crates/rig/src/scripted.rs
+++ b/crates/rig/src/scripted.rs
@@ -7,6 +7,7 @@
 //! These functions are for tests: what can't be had (a port, a program) ends the test with a panic.
 
 use crate::ledger::{Ask, AttemptSeen, ClassTerms, Ended, Got, Ledger, Rule, Rules};
+use crate::live::gateways::listening;
 use crate::live::nodes::number;
 use ottervane::{Effect, Group};
 use serde_json::{json, Value};
@@ -510,7 +511,7 @@
         command.env("ROUTER_DISCOVERY", discovery.address.to_string());
         let mut child = command.spawn().expect("the built gateway");
         let mut log = BufReader::new(child.stderr.take().expect("a log")).lines().map_while(Result::ok);
-        let address = log.find_map(|l| l.strip_prefix("listening on ").map(str::to_owned));
+        let address = log.find_map(|l| listening(&l));
         spawn(move || log.for_each(|line| eprintln!("gateway: {line}")));
         Gateway { child, address: address.expect("an address in the log") }
     }
