Take a host that ends its last idle connection for one that may come back cold

What all of them see in the same moment is that the process ends their idle connections; nothing used it.

Changed: Event::Closed tells the module how long the connection had been idle and how many are left. The last one gone, the host is given a cold one's budget from then on, unless it was idle for as long as the one closed before (a host that lets go early) or half of the hosts are cold already.

--- a/crates/gateway/src/core/messages.rs
+++ b/crates/gateway/src/core/messages.rs
@@ -4,7 +4,7 @@
 use crate::exchange::{Answer, Forward};
 use hyper::header::HeaderValue;
 use hyper::StatusCode;
-use ottervane::{LoadReport, Outcome, RequestId};
+use ottervane::{HostId, LoadReport, Outcome, RequestId};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -66,6 +66,15 @@
         /// What the host said of its load.
         load: Option<LoadReport>,
     },
+    /// A host has ended an idle connection.
+    Closed {
+        /// Which host.
+        host: HostId,
+        /// How long the connection had been idle.
+        idle: Duration,
+        /// How many idle connections to it are left.
+        left: usize,
+    },
     /// News of the hosts.
     Hosts {
         /// From which watch, counted from 1.
--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -8,7 +8,7 @@
 use crate::core::Gateway;
 use crate::listeners::http::Server;
 use crate::sockets::Budget;
-use crate::upstream::Pool;
+use crate::upstream::{Closed, Pool};
 use std::error::Error;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -61,11 +61,14 @@
     let listener = listen(config.listen)?;
     gateway.learn(config.known);
     let reloading = reload(hang_up, handle.clone());
+    let told = handle.clone();
+    let closed = move |Closed { host, idle, left }| told.tell(Message::Closed { host, idle, left });
     let server = Rc::new(Server::new(handle, names, &settings, &budget));
     info!(address = %listener.local_addr()?, "listening");
     // These live and die with the process: a panic in one of them ends it, for it would be half alive.
-    let running =
-        async { tokio::join!(gateway.run(), pool.sweep(), server.feel_pulse(), server.sweep(), reloading) };
+    let running = async {
+        tokio::join!(gateway.run(), pool.sweep(closed), server.feel_pulse(), server.sweep(), reloading)
+    };
     tokio::pin!(running);
     tokio::select! {
         _ = running.as_mut() => return Err("the gateway has ended".into()),
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -23,11 +23,11 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::{sleep_until, timeout_at, Instant};
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
 /// An answer is whole so long after its first byte. What keeps the connection open after noise, or after less than it
 /// promised, would hold its request until that times out, too late for another try.
@@ -36,6 +36,9 @@
 /// must not be read as the answer to the next.
 const REST: Duration = Duration::from_millis(2);
 
+/// Idle connections are looked at this often. One that has come back meanwhile is not watched until then.
+const LOOK: Duration = Duration::from_millis(50);
+
 /// The header of an answer that carries the host's load report.
 const LOAD: &str = "x-server-load";
 
@@ -121,11 +124,29 @@
         self.marks.idle.set(false);
         !over && self.sender.is_ready()
     }
+
+    /// Whether nothing has come since it was put back: what ended it then is its end and no noise behind an answer.
+    fn was_silent(&self) -> bool {
+        self.marks.last_read.get().is_none_or(|at| at <= self.idle_since)
+    }
+}
+
+/// A host has ended a connection that had been idle for less than the pool keeps any.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Closed {
+    /// Which host.
+    pub host: HostId,
+    /// How long it had been idle.
+    pub idle: Duration,
+    /// How many idle connections to it are left.
+    pub left: usize,
 }
 
 /// All connections to hosts that are idle, the one used last at the end.
 pub struct Pool {
     idle: RefCell<VecDeque<Connection>>,
+    /// Connections that their hosts ended and that were found so on reuse: told with the others.
+    found: RefCell<Vec<(HostId, Duration)>>,
     reports: ReportFields,
     slots: Slots,
     dial_timeout: Duration,
@@ -136,7 +157,8 @@
     /// An empty pool that opens at most `slots`. The hosts close what has been idle for `keepalive`.
     pub fn new(slots: Slots, dial_timeout: Duration, keepalive: Duration, reports: ReportFields) -> Pool {
         // A request that crosses the host's close is lost to a reset: never come near that moment.
-        Pool { idle: RefCell::default(), reports, slots, dial_timeout, idle_most: keepalive / 2 }
+        let (idle, found) = Default::default();
+        Pool { idle, found, reports, slots, dial_timeout, idle_most: keepalive / 2 }
     }
 
     /// Closes the idle connections to a host.
@@ -149,18 +171,41 @@
         self.idle.borrow_mut().retain(|c| these(c.host));
     }
 
-    /// Closes, for as long as it runs, what has been idle for long or was closed by its host: either only
-    /// takes up a descriptor and a place at the host.
-    pub async fn sweep(&self) {
+    /// Closes, for as long as it runs, what has been idle for long or was closed by its host: either only takes up a
+    /// descriptor and a place at the host. What a host closed early is told: at once where the connection has been idle
+    /// for [`LOOK`], else within that.
+    ///
+    /// Cancel safe: what is dropped with it is only the wish to be woken.
+    pub async fn sweep(&self, tell: impl Fn(Closed)) {
         loop {
-            tokio::time::sleep(Duration::from_millis(500)).await;
-            let idle = self.idle.borrow().len();
-            for _ in 0..idle {
-                let Some(mut connection) = self.idle.borrow_mut().pop_front() else { break };
-                if connection.idle_since.elapsed() < self.idle_most && connection.is_open().await {
-                    self.idle.borrow_mut().push_back(connection);
+            let mut looked = false;
+            // The look leaves this task's waker with every idle connection; the wake by any of them ends the wait.
+            let woken = poll_fn(|cx| {
+                if std::mem::replace(&mut looked, true) {
+                    return Poll::Ready(());
                 }
+                self.let_go(cx, &tell);
+                Poll::Pending
+            });
+            // No matter which: either way all are looked at again.
+            let _ = timeout(LOOK, woken).await;
+        }
+    }
+
+    /// Lets go what is no longer of use, and tells of what its host ended.
+    fn let_go(&self, cx: &mut Context<'_>, tell: impl Fn(Closed)) {
+        let mut ended = self.found.take();
+        let mut idle = self.idle.borrow_mut();
+        idle.retain_mut(|connection| {
+            let age = connection.idle_since.elapsed();
+            let open = connection.driver.as_mut().poll(cx).is_pending();
+            if !open && age < self.idle_most && connection.was_silent() {
+                ended.push((connection.host, age));
             }
+            open && age < self.idle_most
+        });
+        for (host, age) in ended {
+            tell(Closed { host, idle: age, left: idle.iter().filter(|c| c.host == host).count() });
         }
     }
 
@@ -173,10 +218,16 @@
                 let at = idle.iter().rposition(|c| c.host == host.id && rested(c))?;
                 idle.remove(at)?
             };
-            let fresh = connection.idle_since.elapsed() < self.idle_most;
-            if fresh && Some(connection.address) == host.address.get() && connection.is_open().await {
+            let age = connection.idle_since.elapsed();
+            if age >= self.idle_most || Some(connection.address) != host.address.get() {
+                continue;
+            }
+            if connection.is_open().await {
                 return Some(connection);
             }
+            if connection.was_silent() {
+                self.found.borrow_mut().push((host.id, age));
+            }
         }
     }
 
@@ -392,4 +443,52 @@
             assert_eq!(heard("200 OK", head).await, (Outcome::Served, None), "{head:?}");
         }
     }
+
+    /// Has a request served, does `then` with the host's end of the connection, and gives what the pool tells of it.
+    async fn told_after(then: impl AsyncFnOnce(&mut tokio::net::TcpStream)) -> Option<Closed> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = Cell::new(Some(listener.local_addr().expect("an address")));
+        let (dial, keep) = (Duration::from_secs(5), Duration::from_secs(60));
+        let pool = Pool::new(Budget::new(&Default::default()).hosts, dial, keep, ReportFields::default());
+        let (method, uri) = (hyper::Method::GET, hyper::Uri::from_static("/look"));
+        let forward = Forward { method, uri, headers: HeaderMap::new(), body: Bytes::new() };
+        let attempt = Attempt {
+            host: Rc::new(Host { id: HostId(3), address, takes_work: Cell::new(true) }),
+            forward: Rc::new(forward),
+            until: Instant::now() + Duration::from_secs(10),
+            open: Rc::new(Cell::new(true)),
+            cancel: Rc::default(),
+        };
+        let host = async {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let _ = stream.read(&mut [0; 4096]).await;
+            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").await.expect("an answer");
+            stream
+        };
+        let (end, mut stream) = tokio::join!(pool.attempt(&attempt), host);
+        assert_eq!(end.outcome, Outcome::Served);
+        let told = Cell::new(None);
+        tokio::select! {
+            () = pool.sweep(|closed| told.set(Some(closed))) => {}
+            () = async {
+                tokio::time::sleep(4 * LOOK).await; // it is being watched by now
+                then(&mut stream).await;
+                let begun = Instant::now();
+                while told.get().is_none() && begun.elapsed() < Duration::from_secs(2) {
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+            } => {}
+        }
+        told.get()
+    }
+
+    #[tokio::test]
+    async fn an_end_by_the_host_is_told_and_noise_is_not() {
+        let ended = told_after(async |stream| stream.shutdown().await.expect("an end")).await;
+        let Closed { host, idle, left } = ended.expect("told");
+        assert_eq!((host, left), (HostId(3), 0));
+        assert!(idle >= 4 * LOOK, "{idle:?}");
+        assert_eq!(told_after(async |stream| stream.write_all(b"noise").await.expect("written")).await, None);
+        assert_eq!(told_after(async |_| {}).await, None);
+    }
 }
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -16,7 +16,7 @@
 pub struct Marks {
     /// When the first byte was read.
     pub read_since: Cell<Option<Instant>>,
-    /// When anything was last read, cleared or not.
+    /// When anything was last read or seen waiting, cleared or not.
     pub last_read: Cell<Option<Instant>>,
     /// Whether anything was written.
     pub written: Cell<bool>,
@@ -42,6 +42,9 @@
     /// looked, and on a connection that is about to be used again that may be too long ago.
     fn has_news(&self) -> bool {
         let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+        if matches!(peeked, Ok(n) if n > 0) {
+            self.marks.last_read.set(Some(Instant::now()));
+        }
         !matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
--- a/crates/rig/src/simulate/mod.rs
+++ b/crates/rig/src/simulate/mod.rs
@@ -419,9 +419,7 @@
                 self.nodes[node].disconnect(self.now, connection);
                 self.hear(node);
             }
-            Happening::IdleEnded { gateway, node, connection } => {
-                self.gateways[gateway].idle[node].retain(|(c, _)| *c != connection);
-            }
+            Happening::IdleEnded { gateway, node, connection } => self.idle_ended(gateway, node, connection),
             Happening::Answer { n, seen } => self.take_answer(n, seen),
             Happening::RegisterCall { gateway } => self.register_called(gateway),
             Happening::RegisterSays { gateway, list } => self.register_says(gateway, list),
@@ -643,8 +641,7 @@
         let a = self.attempts.len();
         let in_try = self.tries[n].attempts.len() as u32;
         self.tries[n].attempts.push(a);
-        // As the program does it: the one used last, and none that its node may be about to close.
-        let fresh = self.script.fleet.kinds.iter().map(|k| k.spec.keep_alive).min().unwrap_or_default() / 2;
+        let fresh = self.fresh(); // as the program does it: the one used last
         let idle = &mut self.gateways[gateway].idle[node];
         let reused = loop {
             match idle.pop() {
@@ -755,6 +752,26 @@
         self.end_attempt(a, outcome);
     }
 
+    /// A node has ended an idle connection.
+    fn idle_ended(&mut self, gateway: usize, node: usize, connection: u64) {
+        let (now, fresh, mind) = (self.now, self.fresh(), self.mind_of(gateway));
+        let idle = &mut self.gateways[gateway].idle[node];
+        let Some(at) = idle.iter().position(|(c, _)| *c == connection) else { return };
+        let (_, since) = idle.remove(at);
+        // The program lets go by itself what has been idle for so long: no word of the node.
+        if now - since < fresh {
+            let of_mind = (0..self.gateways.len()).filter(|g| self.mind_of(*g) == mind);
+            let held = of_mind.flat_map(|g| &self.gateways[g].idle[node]);
+            let left = held.filter(|(_, since)| now - *since < fresh).count();
+            self.decide(gateway, Event::Closed { host: HostId(node as u32), idle: now - since, left });
+        }
+    }
+
+    /// A connection that has been idle for less is used again: none that its node may be about to close.
+    fn fresh(&self) -> Duration {
+        self.script.fleet.kinds.iter().map(|k| k.spec.keep_alive).min().unwrap_or_default() / 2
+    }
+
     /// The gateway ends the attempt's connection.
     fn leave(&mut self, a: usize) {
         let Attempt { node, connection, written, .. } = self.attempts[a];
--- a/src/api.rs
+++ b/src/api.rs
@@ -335,6 +335,15 @@
         /// What it says.
         report: LoadReport,
     },
+    /// The host has ended an idle connection that the gateway would have kept: told at once, whether or not it is used.
+    Closed {
+        /// The host.
+        host: HostId,
+        /// How long the connection had been idle.
+        idle: Duration,
+        /// How many idle connections to the host are left.
+        left: usize,
+    },
     /// The client has left: the request is over.
     Abandoned {
         /// The request.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -40,6 +40,9 @@
 /// A host that served RUNS a second and reports less than this part of it begins anew: it may be cold.
 const ANEW: f64 = 0.2;
 const RUNS: f64 = 1.0;
+/// A host that ends the last idle connection to it may be a process that has ended and comes back cold; not where the
+/// connection was idle for about as long as the one ended before, within this part: then that is how long it keeps any.
+const LAPSE: f64 = 0.1;
 /// Where live weights tell what hosts hold, what is out is bounded so that they hold about FULL a core: more earns
 /// nothing, and a host that is crowded for some seconds slows down. The lists are a second old, so the bound is what
 /// was out over CROWD_S per request listed in that time, and AHEAD of a host's share besides, to grow from. Not
@@ -268,6 +271,7 @@
     asking: bool, // discovery: an answer is awaited; calls failed in a row, below 0 before the first list
     asks_failed: i32,
     closing: bool, // A timer for closing on drains is set
+    lapse: f64,    // how long the connection that a host ended last had been idle
 }
 
 impl Balancer {
@@ -294,6 +298,7 @@
             asking: false,
             asks_failed: -1,
             closing: false,
+            lapse: 0.0,
         }
     }
 
@@ -337,6 +342,7 @@
                 }
             }),
             Event::Load { host, report } => self.take_report(now, host, report),
+            Event::Closed { host, idle, left } => self.take_close(now, host, idle.as_secs_f64(), left),
             Event::Probed { .. } => {}
         }
     }
@@ -542,6 +548,22 @@
         h.qps += gain(QPS_S) * (report.qps - h.qps);
     }
 
+    /// Books that a host has ended an idle connection. A process that ends does so to all gateways in one moment, long
+    /// before discovery tells of it; each then begins with the little that a cold host may be sent, at a random place.
+    fn take_close(&mut self, now: f64, host: HostId, idle: f64, left: usize) {
+        let usual = (idle - self.lapse).abs() <= LAPSE * self.lapse;
+        self.lapse = idle;
+        let first = self.rng.f64();
+        // Most of them at once is no restart that one could spare: somebody has to serve.
+        let cold = self.ready.iter().filter(|&&i| self.hosts[i].tokens.is_finite()).count();
+        let spared = 2 * (cold + 1) <= self.ready.len();
+        if let Some(h) = self.hosts.get_mut(host.0 as usize) {
+            if left == 0 && !usual && spared && h.tokens.is_infinite() && h.entry.state == HostState::Up {
+                (h.started, h.tokens) = (h.started.max(now), first);
+            }
+        }
+    }
+
     fn observe(&mut self, now: f64, host: usize, y: f64) {
         self.mean = if self.traffic.latency > 0.0 { self.mean } else { y * self.hosts[host].size };
         let prior = self.prior(&self.hosts[host]);
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -435,6 +435,29 @@
     assert!(!sent.is_empty() && !sent.contains(&1), "{sent:?}");
 }
 
+/// Who is sent to at once after hosts have ended idle connections: (host, idle milliseconds, left).
+fn sent_after(closes: &[(u32, u64, usize)]) -> Vec<u32> {
+    let mut bench = among_many();
+    for &(host, idle, left) in closes {
+        bench.give(Event::Closed { host: HostId(host), idle: Duration::from_millis(idle), left });
+    }
+    bench.now += Duration::from_millis(40);
+    (0..8).filter_map(|_| bench.request(0, None)).collect()
+}
+
+#[test]
+fn a_host_that_ends_its_last_idle_connection_is_treated_as_cold() {
+    let all = |sent: &[u32]| (0..4).all(|host| sent.contains(&host));
+    assert!(all(&sent_after(&[])), "each is sent to");
+    let sent = sent_after(&[(1, 700, 0)]);
+    assert!(!sent.is_empty() && !sent.contains(&1), "{sent:?}");
+    assert!(all(&sent_after(&[(1, 700, 1)])), "another connection is left: the process is there");
+    let sent = sent_after(&[(1, 700, 0), (2, 720, 0)]);
+    assert!(!sent.contains(&1) && sent.contains(&2), "idle for as long as the one before: {sent:?}");
+    let sent = sent_after(&[(0, 700, 0), (1, 2000, 0), (2, 150, 0), (3, 4000, 0)]);
+    assert!(sent.contains(&2) && sent.contains(&3), "no more than half at once: {sent:?}");
+}
+
 #[test]
 fn hosts_that_are_never_cold_are_sent_to() {
     let mut bench = Bench::new(Settings { cold_from: 1.0, ..settings() }, 4);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -326,6 +326,11 @@
                 let class = self.rng.usize(0..self.check.settings.classes.len());
                 self.request(class);
             }
+            if self.rng.u32(0..60) == 0 {
+                let (host, left) = (HostId(self.rng.u32(0..HOSTS + 2)), self.rng.usize(0..2));
+                let idle = Duration::from_millis(self.rng.u64(0..5000));
+                self.give(Event::Closed { host, idle, left });
+            }
             if self.rng.u32(0..150) == 0 {
                 let i = self.rng.u32(0..HOSTS);
                 let mut h = self.check.hosts[&i].clone();
