Measure a fresh gateway among warm ones, and how far gateways move together

Need: two hard cases of the fleet's size had no run: a gateway that starts among 44 warm ones, and the amplitude when all hear the same news at once.

The front of virtual time deals a zone without gateways to those that are there.

--- a/crates/rig/src/ledger/mod.rs
+++ b/crates/rig/src/ledger/mod.rs
@@ -3,6 +3,7 @@
 //! It is written by those who see a thing happen and by nobody else: a node books what reaches it, a client what it
 //! is sent. Nothing the gateway says of itself is believed.
 
+mod evenness;
 mod rules;
 mod service;
 
--- a/crates/rig/src/replay.rs
+++ b/crates/rig/src/replay.rs
@@ -180,6 +180,8 @@
         breaches: ledger.breaches(Rules { drain_grace: day.script.limits.drain_grace, ..Rules::sockets() }),
         unsound,
         counts: day.counts.get(),
+        fresh: None,
+        dispersion: ledger.dispersion(day.script.lasts),
         lateness: Some(lateness),
         timeline: day.timeline.borrow().clone(),
     }
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -7,6 +7,9 @@
 use std::fmt::Write as _;
 use std::time::Duration;
 
+/// For so long a gateway counts as fresh.
+const FRESH: Duration = Duration::from_secs(10);
+
 /// How often something happened.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Counts {
@@ -59,6 +62,17 @@
     pub down: usize,
 }
 
+/// How gateways that started among warm ones fared, in the 10 s from then on.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Fresh {
+    /// The service of first tries dealt to them.
+    pub service: f64,
+    /// How many these were.
+    pub asked: usize,
+    /// The service of first tries dealt to all others in that time.
+    pub others: f64,
+}
+
 /// How a run was played.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -115,6 +129,11 @@
     pub unsound: Option<String>,
     /// What happened how often.
     pub counts: Counts,
+    /// How gateways that started later fared, where there were any.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub fresh: Option<Fresh>,
+    /// How evenly attempts came to nodes ([`Ledger::dispersion`]): 1 is chance alone.
+    pub dispersion: Option<f64>,
     /// How late the machine was.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub lateness: Option<Lateness>,
@@ -170,6 +189,17 @@
             }
             (None, None) => {}
         }
+        if let Some(f) = self.fresh {
+            let _ = writeln!(
+                text,
+                "  service {:.4} of {} first tries at fresh gateways in their first 10 s, {:.4} at the others",
+                f.service, f.asked, f.others
+            );
+        }
+        if let Some(dispersion) = self.dispersion {
+            let _ =
+                writeln!(text, "  attempts come to nodes with a dispersion of {dispersion:.2} (1 is chance)");
+        }
         if self.breaches.is_empty() {
             let _ = writeln!(text, "  all rules kept");
         }
@@ -215,6 +245,20 @@
     day.iter().map(tally).collect()
 }
 
+/// How the gateways from `first` on fared in the 10 s after they started; `by` tells which gateway took a first try.
+pub fn fresh(script: &Script, tallies: &[Tally], first: usize, by: impl Fn(usize) -> Option<usize>) -> Fresh {
+    let from = script.fleet.joins_at;
+    let in_time = tallies.iter().enumerate().filter(|(_, t)| t.at >= from && t.at < from + FRESH);
+    let (fresh, others): (Vec<_>, Vec<_>) =
+        in_time.partition(|(place, _)| by(*place).is_some_and(|gateway| gateway >= first));
+    let whole = |these: Vec<(usize, &Tally)>| {
+        let these: Vec<Tally> = these.into_iter().map(|(_, tally)| *tally).collect();
+        (service(script, &these).whole, these.len())
+    };
+    let ((service, asked), (others, _)) = (whole(fresh), whole(others));
+    Fresh { service, asked, others }
+}
+
 /// The service of a run.
 pub fn service(script: &Script, tallies: &[Tally]) -> Service {
     let classes: Vec<_> = script.classes.iter().map(|c| c.name.clone()).collect();
--- a/crates/rig/src/script/mod.rs
+++ b/crates/rig/src/script/mod.rs
@@ -51,6 +51,10 @@
     pub on_sockets: usize,
     /// What gateways are told of their number, as a multiple of the truth.
     pub told: f64,
+    /// How many of the gateways start later, by the front of virtual time; all others are warm by then.
+    pub joining: usize,
+    /// When these do.
+    pub joins_at: Duration,
     /// How many nodes; likewise.
     pub nodes: usize,
     /// How many nodes of a zone make a rack.
--- a/crates/rig/src/script/read.rs
+++ b/crates/rig/src/script/read.rs
@@ -113,6 +113,14 @@
         let carried = if t.has("gateways") { gateways.min(CARRIED) } else { 2 };
         let on_sockets = t.within("on_sockets", 1..=1000, carried as u64) as usize;
         let told = t.within("told", 0.01..=100.0, 1.0);
+        let joining = t.within("joining", 0..=999, 0u64) as usize;
+        if joining >= gateways {
+            t.wrong(
+                "joining",
+                format!("must be less than gateways, which is {gateways}: somebody has to serve"),
+            );
+        }
+        let joins_at = t.within("joins_at", Duration::ZERO..=LONGEST, ms(10_000));
         let nodes = t.within("nodes", 1..=1000, 12u64) as usize;
         let rack = t.within("rack", 1..=1000, 3u64) as usize;
         let tables = t.tables("kind");
@@ -125,7 +133,7 @@
         if kinds.iter().map(|k| k.share).sum::<f64>() <= 0.0 {
             t.wrong("kind", "the shares of all kinds together are 0");
         }
-        Fleet { zones, gateways, on_sockets, told, nodes, rack, kinds }
+        Fleet { zones, gateways, on_sockets, told, joining, joins_at, nodes, rack, kinds }
     })
 }
 
--- a/crates/rig/src/simulate/mod.rs
+++ b/crates/rig/src/simulate/mod.rs
@@ -12,7 +12,7 @@
 use crate::model::{Answer, Node, Output, State, Work};
 use crate::plan::{attempt_seconds, plan, Asked};
 use crate::register::{deeds, Deed, List, Register};
-use crate::report::{service, tallies, Counts, Report, Runner, Sample};
+use crate::report::{fresh, service, tallies, Counts, Report, Runner, Sample};
 use crate::script::Script;
 use ottervane::wire::parse_settings;
 use ottervane::{
@@ -110,6 +110,8 @@
     Weights { weights: Vec<f64> },
     /// The script does something to a node.
     Deed { node: usize, deed: Deed },
+    /// The gateways that start later do.
+    Join,
     /// The state is looked at.
     Sample,
 }
@@ -266,6 +268,7 @@
         minds: Minds,
     ) -> Result<World<'s>, SimulateError> {
         let day = plan(script, draws);
+        let there = there(script, count);
         let mut gateways = Vec::with_capacity(count);
         for g in 0..count {
             // One mind for all is told what a single gateway is told.
@@ -287,16 +290,9 @@
                 hosts: Vec::new(),
                 idle: vec![Vec::new(); script.fleet.nodes],
                 version: 0,
-                watching: script.register.pushed,
+                watching: script.register.pushed && g < there,
             });
         }
-        let mut by_zone = vec![Vec::new(); script.fleet.zones.len()];
-        for g in 0..count {
-            // Among those of a zone every other one stands several times in the front's list.
-            let favoured = (g / script.fleet.zones.len()).is_multiple_of(2);
-            let places = if favoured { script.load.uneven } else { 1 };
-            by_zone[script.zone_of(g)].extend(std::iter::repeat_n(g, places));
-        }
         let (nodes, places) = (nodes(script, draws), day.len());
         let mut world = World {
             script,
@@ -315,7 +311,7 @@
             nodes,
             gateways,
             minds,
-            by_zone,
+            by_zone: front(script, there),
             mean_worth: mean_worth(script),
             register: Register::new(script, draws),
             weights: vec![1.0; script.fleet.nodes],
@@ -329,10 +325,13 @@
             actions: Vec::new(),
         };
         world.weights = world.nodes.iter().map(|node| world.weight(node)).collect();
-        for g in 0..world.minds() {
+        for g in 0..world.minds().min(there) {
             let list = world.register.since(Duration::ZERO, 0);
             world.tell(g, list);
         }
+        if there < count {
+            world.at(script.fleet.joins_at, Happening::Join);
+        }
         for place in 0..places {
             let at = world.day[place].at;
             world.at(at, Happening::Ask { place, tries: 0 });
@@ -433,6 +432,7 @@
                 }
                 self.hear(node);
             }
+            Happening::Join => self.join(),
             Happening::Sample => self.sample(),
         }
     }
@@ -450,13 +450,8 @@
         self.tries_of[place].push((number, self.now));
         let until = self.now + patience(self.script, asked, self.firsts[place], self.now);
         let class = asked.class;
-        // A front deals the requests of a zone to its gateways; where a zone has none, to all.
         let own = &self.by_zone[asked.zone];
-        let place_in = ottervane::mix(number) as usize;
-        let gateway = match own.len() {
-            0 => place_in % self.gateways.len(),
-            some => own[place_in % some],
-        };
+        let gateway = own[ottervane::mix(number) as usize % own.len()];
         self.ledger.asked(number, Ask { gateway, class, at: self.now, until });
         let n = self.tries.len();
         let (closed, answered, attempts) = Default::default();
@@ -466,6 +461,17 @@
         self.at(until, Happening::GiveUp { n });
     }
 
+    /// The gateways that start later hear their first list, and the front deals to them too.
+    fn join(&mut self) {
+        let count = self.gateways.len();
+        for g in there(self.script, count)..self.minds() {
+            self.gateways[g].watching = self.script.register.pushed;
+            let list = self.register.since(self.now, 0);
+            self.tell(g, list);
+        }
+        self.by_zone = front(self.script, count);
+    }
+
     fn give_up(&mut self, n: usize) {
         if self.tries[n].closed {
             return;
@@ -865,6 +871,9 @@
 
     fn report(self, seed: u64) -> (Report, Cost) {
         let tallies = tallies(self.script, &self.day, &self.ledger, &self.tries_of);
+        let there = there(self.script, self.gateways.len());
+        let fresh = (there < self.gateways.len())
+            .then(|| fresh(self.script, &tallies, there, |place| self.taken_by(place)));
         let report = Report {
             script: self.script.name.clone(),
             seed,
@@ -877,11 +886,19 @@
                 .breaches(Rules { drain_grace: self.script.limits.drain_grace, ..Rules::virtual_time() }),
             unsound: None,
             counts: self.counts,
+            fresh,
+            dispersion: self.ledger.dispersion(self.script.lasts),
             lateness: None,
             timeline: self.timeline,
         };
         (report, self.cost)
     }
+
+    /// The gateway that took a first try.
+    fn taken_by(&self, place: usize) -> Option<usize> {
+        let (number, _) = self.tries_of.get(place)?.first()?;
+        self.ledger.of(*number)?.ask.as_ref().map(|ask| ask.gateway)
+    }
 }
 
 impl Sample {
@@ -898,6 +915,25 @@
     }
 }
 
+/// How many of `count` gateways are there from the beginning.
+fn there(script: &Script, count: usize) -> usize {
+    count - script.fleet.joining.min(count.saturating_sub(1))
+}
+
+/// To which of the first `count` gateways the front deals the requests of each zone.
+fn front(script: &Script, count: usize) -> Vec<Vec<usize>> {
+    let mut by_zone = vec![Vec::new(); script.fleet.zones.len()];
+    for g in 0..count {
+        // Among those of a zone every other one stands several times in the front's list.
+        let favoured = (g / script.fleet.zones.len()).is_multiple_of(2);
+        let places = if favoured { script.load.uneven } else { 1 };
+        by_zone[script.zone_of(g)].extend(std::iter::repeat_n(g, places));
+    }
+    // Where a zone has none, to all.
+    by_zone.iter_mut().filter(|own| own.is_empty()).for_each(|own| own.extend(0..count));
+    by_zone
+}
+
 /// What tells a request from the others: a retry has the same.
 fn identity(asked: &Asked) -> Option<u64> {
     Some(asked.key)
--- a/crates/rig/src/sweep/run.rs
+++ b/crates/rig/src/sweep/run.rs
@@ -33,6 +33,12 @@
     pub refused: f64,
     /// Attempts for each first try.
     pub attempts: f64,
+    /// How evenly attempts came to nodes: 1 is chance alone; none from a build that does not tell it.
+    pub dispersion: Option<f64>,
+    /// The service at gateways that started late, in their first 10 s, and at the others in that time.
+    pub fresh: Option<f64>,
+    /// See `fresh`.
+    pub others: Option<f64>,
     /// Nodes that fell over.
     pub fallen: u64,
     /// Rules broken.
@@ -197,6 +203,14 @@
     service: Service,
     breaches: Vec<serde_json::Value>,
     counts: Counts,
+    dispersion: Option<f64>,
+    fresh: Option<Fresh>,
+}
+
+#[derive(Deserialize)]
+struct Fresh {
+    service: f64,
+    others: f64,
 }
 
 #[derive(Deserialize)]
@@ -232,6 +246,9 @@
             worst_class: self.service.worst_class.service,
             refused: self.counts.refused as f64 / asked,
             attempts: self.counts.attempts as f64 / asked,
+            dispersion: self.dispersion,
+            fresh: self.fresh.as_ref().map(|f| f.service),
+            others: self.fresh.as_ref().map(|f| f.others),
             fallen: self.counts.fallen,
             breaches: self.breaches.len(),
             decision_us: None,
--- a/crates/rig/src/sweep/table.rs
+++ b/crates/rig/src/sweep/table.rs
@@ -51,6 +51,12 @@
     pub worst_10s: Mean,
     /// Refused tries, as a share of first tries.
     pub refused: f64,
+    /// How evenly attempts came to nodes, in the mean: 1 is chance alone.
+    pub dispersion: Option<f64>,
+    /// The service at gateways that started late, in their first 10 s.
+    pub fresh: Option<Mean>,
+    /// That at the others in that time, less theirs, pair by pair.
+    pub behind: Option<Mean>,
     /// Nodes that fell over, in all runs together.
     pub fallen: u64,
     /// Rules broken, in all runs together.
@@ -98,7 +104,10 @@
     });
     let difference = pairs.filter(|p| !p.is_empty()).map(|p| Mean::of(&p));
     let half = difference.and_then(|d| d.within);
-    let costs: Option<Vec<f64>> = runs.iter().map(|r| r.decision_us).collect();
+    let all = |of: fn(&Run) -> Option<f64>| {
+        let values: Option<Vec<f64>> = runs.iter().map(|r| of(r)).collect();
+        values.map(|v| Mean::of(&v))
+    };
     Row {
         script: runs[0].script.clone(),
         gateways: runs[0].gateways,
@@ -110,7 +119,10 @@
         refused: Mean::of(&of(|r| r.refused)).mean,
         fallen: runs.iter().map(|r| r.fallen).sum(),
         breaches: runs.iter().map(|r| r.breaches).sum(),
-        decision_us: costs.map(|c| Mean::of(&c).mean),
+        dispersion: all(|r| r.dispersion).map(|m| m.mean),
+        fresh: all(|r| r.fresh),
+        behind: all(|r| r.others.zip(r.fresh).map(|(others, fresh)| others - fresh)),
+        decision_us: all(|r| r.decision_us).map(|m| m.mean),
         difference,
         // The interval narrows with the root of the number of seeds.
         seeds_for_a_point: half.map(|h| ((h / 0.01).powi(2) * runs.len() as f64).ceil().max(2.0) as u64),
@@ -122,7 +134,7 @@
     let mut text = String::new();
     let _ = writeln!(
         text,
-        "{:<20} {:>8} {:<12} {:>5} {:>16} {:>7} {:>7} {:>8} {:>6} {:>6} {:>6}  {:<18} {:>5}",
+        "{:<20} {:>8} {:<12} {:>5} {:>16} {:>7} {:>7} {:>8} {:>6} {:>6} {:>6} {:>6}  {:<18} {:>5}",
         "script",
         "gateways",
         "variant",
@@ -131,6 +143,7 @@
         "least",
         "10 s",
         "refused",
+        "spread",
         "fallen",
         "broken",
         "us",
@@ -142,7 +155,7 @@
         let difference = row.difference.map_or(String::new(), |d| format!("{:+.4}{}", d.mean, spread(&d)));
         let _ = writeln!(
             text,
-            "{:<20} {:>8} {:<12} {:>5} {:>16} {:>7.4} {:>7.4} {:>7.1}% {:>6} {:>6} {:>6}  {:<18} {:>5}",
+            "{:<20} {:>8} {:<12} {:>5} {:>16} {:>7.4} {:>7.4} {:>7.1}% {:>6} {:>6} {:>6} {:>6}  {:<18} {:>5}",
             row.script,
             row.gateways,
             row.variant,
@@ -151,6 +164,7 @@
             row.least,
             row.worst_10s.mean,
             100.0 * row.refused,
+            row.dispersion.map_or(String::new(), |d| format!("{d:.2}")),
             row.fallen,
             row.breaches,
             row.decision_us.map_or(String::new(), |us| format!("{us:.1}")),
@@ -158,6 +172,19 @@
             row.seeds_for_a_point.map_or(String::new(), |n| n.to_string()),
         );
     }
+    for (row, fresh, behind) in rows.iter().filter_map(|r| Some((r, r.fresh?, r.behind?))) {
+        let _ = writeln!(
+            text,
+            "{} {} {}: fresh gateways {:.4}{} in their first 10 s, behind the others by {:+.4}{}",
+            row.script,
+            row.gateways,
+            row.variant,
+            fresh.mean,
+            spread(&fresh),
+            behind.mean,
+            spread(&behind)
+        );
+    }
     text
 }
 
@@ -189,6 +216,9 @@
             worst_class: whole,
             refused: 0.1,
             attempts: 1.0,
+            dispersion: None,
+            fresh: None,
+            others: None,
             fallen: 1,
             breaches: 0,
             decision_us: None,
