Hold cold hosts to 2.2 of what they can do, and suspect one whose connection is refused

A trace of each showed attempts of 26 to 35 gateways within the budget of 3 x and of some that had held no idle connection when the process ended.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -20,7 +20,7 @@
 const FIRST_E: f64 = 0.25; // part of the shortest aim that stands in for E until anything is heard
 const COPY_SHARE: f64 = 0.03; // second copies that each first try pays for
 const RETRY: f64 = 0.15; // what a retry costs of a copy: it follows an attempt that did no work, or lost it
-const COLD_SHARE: f64 = 3.0; // what all gateways together may send a cold host, times what a warm one serves at its warmth
+const COLD_SHARE: f64 = 2.2; // what all gateways together may send a cold host, times what a warm one serves at its warmth
 const CROSSING: f64 = 30.0; // what a zone crossing adds to a host's score, times its price, while all is well
 const SPILL: f64 = 0.85; // part of that which goes as requests end unserved: a zone in trouble spills over
 const CROWDED: f64 = 3.0; // a key leaves its own hosts when their score is this many times the best
@@ -549,16 +549,24 @@
     }
 
     /// Books that a host has ended an idle connection. A process that ends does so to all gateways in one moment, long
-    /// before discovery tells of it; each then begins with the little that a cold host may be sent, at a random place.
+    /// before discovery tells of it.
     fn take_close(&mut self, now: f64, host: HostId, idle: f64, left: usize) {
         let usual = (idle - self.lapse).abs() <= LAPSE * self.lapse;
         self.lapse = idle;
-        let first = self.rng.f64();
+        if left == 0 && !usual {
+            self.suspect(now, host.0 as usize);
+        }
+    }
+
+    /// Takes a host for a new process that nobody has told of. It begins with the little that a cold one may be sent, at
+    /// a random place, or the first sends of all gateways would arrive together.
+    fn suspect(&mut self, now: f64, host: usize) {
         // Most of them at once is no restart that one could spare: somebody has to serve.
         let cold = self.ready.iter().filter(|&&i| self.hosts[i].tokens.is_finite()).count();
         let spared = 2 * (cold + 1) <= self.ready.len();
-        if let Some(h) = self.hosts.get_mut(host.0 as usize) {
-            if left == 0 && !usual && spared && h.tokens.is_infinite() && h.entry.state == HostState::Up {
+        let first = self.rng.f64();
+        if let Some(h) = self.hosts.get_mut(host) {
+            if spared && h.tokens.is_infinite() && h.entry.state == HostState::Up {
                 (h.started, h.tokens) = (h.started.max(now), first);
             }
         }
@@ -727,7 +735,7 @@
         (a.out, a.never_ran) = (false, how.never_ran());
         let (host, sent) = (a.host, a.sent);
         self.traffic.out -= f64::from(u8::from(req.out() == 0));
-        let (h, t) = (&mut self.hosts[host], &mut self.traffic);
+        let h = &mut self.hosts[host];
         let _ = h.out.iter().position(|&t| t == sent).map(|at| h.out.remove(at));
         if h.entry.state == HostState::Draining && self.set.release_within.is_some() {
             actions.push(Action::Close { host: h.entry.id });
@@ -737,6 +745,11 @@
         if let Some(key) = req.key.filter(|_| rests && self.set.classes[class].sequential) {
             self.turns.entry(key).or_default().rested = now + self.set.key_rest.as_secs_f64();
         }
+        // Where more is out, a full table of connections is as likely as a process that has ended.
+        if how == Outcome::NoConnection && h.out.is_empty() {
+            self.suspect(now, host);
+        }
+        let (h, t) = (&mut self.hosts[host], &mut self.traffic);
         h.ill.resize(self.set.classes.len(), Ill::default());
         match how {
             Outcome::Served => {
