Split the decision module by concern, and hold untold restarts to half the cold budget

The refused dial is no sign any more and the budget is 3 x again; a host that is only suspected gets half of it, since those that held no connection go on as before.

--- a/crates/rig/tests/scripts.rs
+++ b/crates/rig/tests/scripts.rs
@@ -232,3 +232,30 @@
         );
     }
 }
+
+/// Seeds in which the nodes fell over while gateways heeded only what they were told: the process's end closes their idle
+/// connections, and each has to take that for the sign it is.
+#[test]
+fn no_node_that_restarts_untold_is_pushed_over() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/scripts");
+    for (name, seeds) in [("cold-restart-busy", [2, 4, 5].as_slice()), ("unseen-restarts", &[5, 6])] {
+        let text = fs::read_to_string(format!("{folder}/{name}.toml")).expect("a script");
+        for seed in seeds {
+            let report = run(&script(&text), *seed);
+            assert_eq!(report.counts.fallen, 0, "{name}, seed {seed}: {}", report.to_text());
+        }
+    }
+}
+
+#[test]
+fn a_gateway_that_starts_late_is_dealt_to_from_then_on() {
+    let text = "name = \"late\"\nlasts = \"8s\"\n[fleet]\ngateways = 4\njoining = 1\njoins_at = \"3s\"\n";
+    let report = run(&script(text), 1);
+    let fresh = report.fresh.expect("there is one");
+    // A quarter of 300 a second for five seconds.
+    assert!((200..600).contains(&fresh.asked), "{}", report.to_text());
+    assert!(fresh.service > 0.9 && fresh.others > 0.9, "{}", report.to_text());
+    assert_eq!(run(&script("name = \"all\"\nlasts = \"1s\""), 1).fresh, None);
+    let wrong = Script::parse("wrong.toml", "name = \"none\"\n[fleet]\ngateways = 4\njoining = 4\n");
+    assert!(wrong.expect_err("nobody serves").to_string().contains("wrong.toml:4: fleet.joining"));
+}
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -2,17 +2,23 @@
 //!
 //! Ordinary path: a two-sided [`Cusum`] on each host's latency moves the host's epoch estimate E at detected
 //! shifts; a request goes to the ready host with the lowest (in-flight + 1) x E. Exceptions: docs/design.md.
+//!
+//! Here are the state, the events, and a request's way from one attempt to the next. Beside it stand the detector, what is
+//! known of hosts (`knowledge`), which requests are let in (`admission`) and where they go (`pick`).
+
+mod admission;
+mod detector;
+mod knowledge;
+mod pick;
+
+pub use detector::Cusum;
 
-use crate::api::{self, Action, Effect, Event, HostId, HostState, Outcome, RequestId, Settings, Weights};
+use crate::api::{self, Action, Effect, Event, HostId, HostState, Outcome, RequestId, Settings};
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
-const ALPHA: f64 = 0.15; // weight of a sample in the tracking mean (α)
-const SHIFT: f64 = 0.25; // smallest shift worth detecting (K), as a part of the first epoch's mean
-const RUN_LENGTH: f64 = 40.0; // samples between false alarms that the threshold H aims at
 const SPREAD_GAIN: f64 = 0.1; // weight of a sample in the spread (σ), the class means and the mean hint
-const FLOOR: f64 = 0.2; // the most by which an epoch estimate falls at one change
 const UPKEEP_S: f64 = 0.03; // seconds between upkeeps: rates, decay and the hosts' current estimates
 const RATE_S: f64 = 3.0; // time constant of the measured rates, in seconds
 const RETEST: f64 = 6.0; // longest aims without a sample in which a raised E loses half its excess
@@ -20,45 +26,15 @@
 const FIRST_E: f64 = 0.25; // part of the shortest aim that stands in for E until anything is heard
 const COPY_SHARE: f64 = 0.03; // second copies that each first try pays for
 const RETRY: f64 = 0.15; // what a retry costs of a copy: it follows an attempt that did no work, or lost it
-const COLD_SHARE: f64 = 2.2; // what all gateways together may send a cold host, times what a warm one serves at its warmth
-const CROSSING: f64 = 30.0; // what a zone crossing adds to a host's score, times its price, while all is well
-const SPILL: f64 = 0.85; // part of that which goes as requests end unserved: a zone in trouble spills over
-const CROWDED: f64 = 3.0; // a key leaves its own hosts when their score is this many times the best
-/// Requests are let in while what is in flight could be served within the shortest aim, or this part of it
-/// once LATE end unserved and what is served takes SLOW of it: a few sick hosts alone are no overload ...
-const TIGHT: f64 = 0.3;
-const LATE: f64 = 0.06;
-const SLOW: f64 = 0.4;
-/// ... with so many standard deviations of chance and, over all gateways, so many a host. The first figure holds
-/// while hosts report that what they hold takes them CROWD of the shortest aim, or report nothing; the second while
-/// it takes EASE of it: then what a single gateway has out says little, and there is no cause to refuse.
-const CHANCE: (f64, f64) = (0.5, 2.0);
+const COLD_SHARE: f64 = 3.0; // what all gateways together may send a cold host, times what a warm one serves at its warmth
+const LATE: f64 = 0.06; // part of all that ends unserved at which admission is tightest
+/// Parts of the shortest aim that reports say hosts take, from which on admission is not eased, and up to which it is
+/// eased in full.
 const CROWD: f64 = 0.45;
 const EASE: f64 = 0.3;
-const HELD_S: f64 = 0.7; // time constants of what hosts report to hold and to serve, in seconds
-const QPS_S: f64 = 5.0;
-/// A host that served RUNS a second and reports less than this part of it begins anew: it may be cold.
-const ANEW: f64 = 0.2;
-const RUNS: f64 = 1.0;
-/// A host that ends the last idle connection to it may be a process that has ended and comes back cold; not where the
-/// connection was idle for about as long as the one ended before, within this part: then that is how long it keeps any.
-const LAPSE: f64 = 0.1;
-/// Where live weights tell what hosts hold, what is out is bounded so that they hold about FULL a core: more earns
-/// nothing, and a host that is crowded for some seconds slows down. The lists are a second old, so the bound is what
-/// was out over CROWD_S per request listed in that time, and AHEAD of a host's share besides, to grow from. Not
-/// by lists older than STALE_S.
-const FULL: f64 = 1.6;
-const CROWDED_MOST: f64 = 20.0; // what a core holds at most, as far as it counts
-const EMPTY: f64 = 0.2; // under this the lists say too little of it
-const CROWD_S: f64 = 2.5;
-const AHEAD: f64 = 0.25;
-const STALE_S: f64 = 3.0;
-/// Once hosts are so much crowded, or requests end unserved so often, one that by its hint takes longer than there is
-/// is refused: it would only keep others from being served. PACE is the part of requests that are faster by their hints.
-const HOPELESS: f64 = 0.3;
-const PACE: f64 = 0.4;
+const CROWD_S: f64 = 2.5; // time constant of what lists and this gateway have out, in seconds
+const PACE: f64 = 0.4; // part of requests that are faster by their hints than the pace
 const PACE_GAIN: f64 = 0.02; // slow, or it follows the queues of the moment in place of the hosts
-const SLACK: f64 = 1.0;
 const ENOUGH: f64 = 20.0; // least requests that the rates of served and lost average: few come at size
 const HOLD_S: f64 = 0.015; // a request for which no host is ready is looked at again after so many seconds
 const ASK: u64 = 0; // the timer token of discovery upkeep
@@ -70,81 +46,6 @@
     Action::Wake { after: Duration::from_secs_f64(after.max(0.0)), token }
 }
 
-/// The detector of one host: an α-filtered mean and a two-sided Cusum over it.
-#[derive(Clone, Debug, Default)]
-pub struct Cusum {
-    mean: f64,
-    shift: f64,
-    spread: f64,
-    rise: f64,
-    fall: f64,
-    since_rise: u32,
-    since_fall: u32,
-    limit: (f64, f64),
-    epoch: f64,
-    moved: bool,
-    samples: u32,
-}
-
-impl Cusum {
-    /// A detector that starts at `prior`, or at its first sample where that is 0.
-    pub fn new(prior: f64) -> Self {
-        Cusum { mean: prior, epoch: prior, shift: SHIFT * prior, spread: SHIFT * prior, ..Cusum::default() }
-    }
-
-    /// The epoch estimate E.
-    pub fn estimate(&self) -> f64 {
-        self.epoch
-    }
-
-    /// Takes a sample; true when it starts a new epoch.
-    pub fn add(&mut self, y: f64) -> bool {
-        if self.mean <= 0.0 {
-            *self = Cusum::new(y);
-        }
-        self.samples += 1;
-        self.spread += SPREAD_GAIN * ((y - self.mean).abs() - self.spread);
-        let before = self.mean;
-        self.mean += ALPHA * (y - self.mean);
-        if !self.moved {
-            (self.epoch, self.shift) = (self.mean, SHIFT * self.mean);
-        }
-        self.rise = (self.rise + y - (self.mean + self.shift)).max(0.0);
-        self.fall = (self.fall + (self.mean - self.shift) - y).max(0.0);
-        (self.since_rise, self.since_fall) = (self.since_rise + 1, self.since_fall + 1);
-        // The bisection is repeated only once K/σ has moved by a tenth.
-        let ratio = self.shift / self.spread.max(1e-9);
-        if (ratio / self.limit.0 - 1.0).abs() > 0.1 || self.limit.0 == 0.0 {
-            self.limit = (ratio, Cusum::threshold(ratio, RUN_LENGTH));
-        }
-        let limit = self.limit.1 * self.spread;
-        let to = if self.rise > limit {
-            before + self.shift + self.rise / f64::from(std::mem::take(&mut self.since_rise))
-        } else if self.fall > limit {
-            let to = before - self.shift - self.fall / f64::from(std::mem::take(&mut self.since_fall));
-            to.max(FLOOR * before)
-        } else {
-            return false;
-        };
-        (self.epoch, self.mean, self.moved, self.rise, self.fall) = (to, to, true, 0.0, 0.0);
-        true
-    }
-
-    /// H/σ at which Siegmund's run length reaches `target` samples, for K/σ = `ratio`, by bisection.
-    pub fn threshold(ratio: f64, target: f64) -> f64 {
-        let run_length = |h: f64| {
-            let x = 2.0 * ratio * (h + 1.166);
-            (x.exp() - x - 1.0) / (2.0 * ratio * ratio)
-        };
-        let (mut low, mut high) = (0.0, target.sqrt());
-        for _ in 0..40 {
-            let mid = 0.5 * (low + high);
-            *(if run_length(mid) < target { &mut low } else { &mut high }) = mid;
-        }
-        high
-    }
-}
-
 /// A host as this gateway sees it.
 #[derive(Clone, Debug, Default)]
 struct Host {
@@ -159,6 +60,7 @@
     served: f64,                            // when it last served anything
     ill: Vec<Ill>,                          // by class
     tokens: f64,                            // sends that it may get now; without end once it is warm
+    untold: bool,                           // taken for started, and discovery has not said so
     report: Option<(api::LoadReport, f64)>, // its last load report and when that was heard
     held: f64, // what it reports to hold and to serve a second, all gateways together
     qps: f64,
@@ -404,63 +306,6 @@
         }
     }
 
-    fn learn(&mut self, now: f64, full: bool, list: &[api::Host], actions: Out) {
-        if self.asks_failed < 0 {
-            self.ask_later(actions); // first list: spread the gateways' first calls
-        } else if std::mem::take(&mut self.asking) {
-            self.asks_failed = 0;
-        }
-        self.hosts.iter_mut().filter(|_| full).for_each(|h| h.entry.state = HostState::Removed);
-        for entry in list.iter().filter(|e| e.id.0 < HostId::LIMIT) {
-            let (i, known) = (entry.id.0 as usize, self.hosts.len());
-            let unknown = || Host { started: f64::NEG_INFINITY, size: 1.0, ..Host::default() };
-            self.hosts.resize_with(self.hosts.len().max(i + 1), unknown);
-            let h = &mut self.hosts[i];
-            let started = entry.started.map_or(f64::NEG_INFINITY, |t| t.as_secs_f64());
-            if started > h.started || (i < known && h.entry.hash != entry.hash) {
-                // A new process or another host: nothing learnt before holds. Its first send as a cold host
-                // falls at a random place, or every gateway's first would arrive together.
-                let out = std::mem::take(&mut h.out);
-                *h = Host { started, out, tokens: self.rng.f64(), size: 1.0, ..Host::default() };
-            }
-            h.entry = entry.clone();
-        }
-        self.close_draining(actions);
-        self.ready = (0..self.hosts.len()).filter(|&i| self.hosts[i].entry.state == HostState::Up).collect();
-        let weights: f64 = self.ready.iter().map(|&i| self.hosts[i].entry.weight).sum();
-        for &i in self.ready.iter().filter(|_| self.set.weights == Weights::Size && weights > 0.0) {
-            let h = &mut self.hosts[i];
-            h.size = (h.entry.weight * self.ready.len() as f64 / weights).clamp(0.1, 10.0);
-        }
-        if self.set.weights == Weights::Live && !list.is_empty() {
-            self.listed = (self.crowding(), now);
-        }
-        self.upkeep(now);
-    }
-
-    /// How many requests a core holds, over all ready hosts, by their live weights: nominal size / (1 + held a core).
-    /// Hosts of one kind have one size, so that one which nobody has seen idle is read by its like.
-    fn crowding(&mut self) -> f64 {
-        let mut sizes: FxHashMap<u32, f64> = FxHashMap::default();
-        for h in &mut self.hosts {
-            h.nominal = h.nominal.max(h.entry.weight);
-            let size = sizes.entry(h.entry.kind).or_default();
-            *size = size.max(h.nominal);
-        }
-        let (mut held, mut all) = (0.0, 0.0);
-        for h in self.ready.iter().map(|&i| &self.hosts[i]) {
-            let (size, weight) = (sizes[&h.entry.kind], h.entry.weight);
-            if weight > 0.0 && size.is_finite() {
-                (held, all) = (held + size * (size / weight - 1.0).min(CROWDED_MOST), all + size);
-            }
-        }
-        if all > 0.0 {
-            held / all
-        } else {
-            0.0
-        }
-    }
-
     fn ask_later(&mut self, actions: Out) {
         let Some(within) = self.set.ask_within else { return };
         let most = within.as_secs_f64() * (0.1 * 2f64.powi(self.asks_failed.clamp(1, 3) + 1)).min(0.8);
@@ -468,18 +313,6 @@
         actions.push(wake(most * self.rng.f64(), ASK));
     }
 
-    /// How much of its full work a host can do at least, from its start.
-    fn warmth(&self, now: f64, h: &Host) -> f64 {
-        // Held to 1: where hosts are never cold, what has been up for ever gives 0 x infinity.
-        let part = ((now - h.started) / self.set.cold_for.as_secs_f64().max(1e-3)).min(1.0);
-        (self.set.cold_from + (1.0 - self.set.cold_from) * part).clamp(0.01, 1.0)
-    }
-
-    /// What a host not heard from is taken for: the mean of its kind, or of all, scaled by its size.
-    fn prior(&self, h: &Host) -> f64 {
-        self.kinds.get(&h.entry.kind).unwrap_or(&self.mean) / h.size
-    }
-
     fn upkeep(&mut self, now: f64) {
         let dt = if self.upkept.is_finite() { (now - self.upkept).min(1.0) } else { 0.0 };
         (self.upkept, self.age) = (now, self.age + dt);
@@ -493,9 +326,10 @@
             h.e = prior / warmth;
             // A kind that is slower when warm is slower when cold.
             let speed = (mean / prior).clamp(0.5, 2.0);
-            h.tokens = (h.tokens + dt * COLD_SHARE * speed * warmth * self.traffic.warm.per_s).min(1.0);
+            let share = if h.untold { knowledge::UNTOLD * COLD_SHARE } else { COLD_SHARE };
+            h.tokens = (h.tokens + dt * share * speed * warmth * self.traffic.warm.per_s).min(1.0);
             if warmth >= 1.0 {
-                (warm, h.tokens) = (warm + 1.0, f64::INFINITY);
+                (warm, h.tokens, h.untold) = (warm + 1.0, f64::INFINITY, false);
             }
             (held, qps) = (held + h.held, qps + h.qps);
             if h.detector.samples > 0 {
@@ -527,113 +361,6 @@
         }
     }
 
-    /// Books a load report. It tells of all gateways' requests but is seconds old by the time it is heard, so it says
-    /// how full the fleet is and not where the next request should go: docs/design/fleet-size.md.
-    fn take_report(&mut self, now: f64, host: HostId, report: api::LoadReport) {
-        let Some(report) = report.checked() else { return };
-        let Some(h) = self.hosts.get_mut(host.0 as usize) else { return };
-        let gap = match h.report {
-            Some((last, _)) if last == report => return, // heard before
-            Some((_, at)) => now - at,
-            None => f64::INFINITY,
-        };
-        if h.qps >= RUNS && report.qps < ANEW * h.qps && gap < self.aims.1 * RETEST && h.tokens.is_infinite()
-        {
-            // It served steadily a moment ago and begins at nothing: perhaps a new process, not told of yet.
-            (h.started, h.tokens) = (h.started.max(now), 0.0);
-        }
-        h.report = Some((report, now));
-        let gain = |time: f64| 1.0 - (-gap / time).exp();
-        h.held += gain(HELD_S) * (report.inflight - h.held);
-        h.qps += gain(QPS_S) * (report.qps - h.qps);
-    }
-
-    /// Books that a host has ended an idle connection. A process that ends does so to all gateways in one moment, long
-    /// before discovery tells of it.
-    fn take_close(&mut self, now: f64, host: HostId, idle: f64, left: usize) {
-        let usual = (idle - self.lapse).abs() <= LAPSE * self.lapse;
-        self.lapse = idle;
-        if left == 0 && !usual {
-            self.suspect(now, host.0 as usize);
-        }
-    }
-
-    /// Takes a host for a new process that nobody has told of. It begins with the little that a cold one may be sent, at
-    /// a random place, or the first sends of all gateways would arrive together.
-    fn suspect(&mut self, now: f64, host: usize) {
-        // Most of them at once is no restart that one could spare: somebody has to serve.
-        let cold = self.ready.iter().filter(|&&i| self.hosts[i].tokens.is_finite()).count();
-        let spared = 2 * (cold + 1) <= self.ready.len();
-        let first = self.rng.f64();
-        if let Some(h) = self.hosts.get_mut(host) {
-            if spared && h.tokens.is_infinite() && h.entry.state == HostState::Up {
-                (h.started, h.tokens) = (h.started.max(now), first);
-            }
-        }
-    }
-
-    fn observe(&mut self, now: f64, host: usize, y: f64) {
-        self.mean = if self.traffic.latency > 0.0 { self.mean } else { y * self.hosts[host].size };
-        let prior = self.prior(&self.hosts[host]);
-        let h = &mut self.hosts[host];
-        if h.detector.samples == 0 {
-            h.detector = Cusum::new(prior);
-        }
-        h.detector.add(y);
-        (h.e, h.heard) = (h.detector.estimate(), now);
-    }
-
-    fn arrive(&mut self, now: f64, r: &api::Request, actions: Out) {
-        if self.requests.contains_key(&r.id.0) {
-            return;
-        }
-        let Some(class) = self.set.classes.get(r.class) else {
-            return actions.push(Action::Refuse { request: r.id, keep_away: Duration::ZERO });
-        };
-        let t = &mut self.traffic;
-        let hint = r.cost_hint.map_or(0.0, |h| h.as_secs_f64());
-        let own = t.class_latency[r.class] / t.latency; // no number before anything was served
-        let mut work = if own > 0.0 { own } else { 1.0 };
-        if hint > 0.0 {
-            follow(&mut t.hint, hint);
-            work = 0.5 + 0.5 * hint / t.hint;
-        }
-        let work = work.clamp(0.25, 4.0);
-        let give_up = r.give_up_at.as_secs_f64();
-        let aim = class.aim.as_secs_f64() + class.aim_stretch * hint - self.set.tick.as_secs_f64();
-        let worth_by = if class.late_worth > 0.0 { give_up } else { give_up.min(now + aim) };
-        // Little's law on own in-flight: what is out must still be served within its aim. What is worth least
-        // goes first, but not by far: a day is also judged by its worst-served class.
-        follow(&mut t.worth, class.worth);
-        let slow = (t.latency / (SLOW * self.aims.0)).powi(2).min(1.0);
-        let fits = t.served.per_s * self.aims.0 * (1.0 - (1.0 - TIGHT) * t.late * slow);
-        let chance = CHANCE.0 + (CHANCE.1 - CHANCE.0) * t.ease;
-        let slack = SLACK * self.ready.len() as f64 / f64::from(self.set.gateways.max(1));
-        let mut room = fits + chance * fits.sqrt() + slack;
-        let mut strain = t.late;
-        if now - self.listed.1 < STALE_S {
-            // Among many a gateway holds one or none: a bound on the mean must leave some room for chance.
-            let mean = FULL * t.meant / t.crowd.max(EMPTY) + AHEAD * slack;
-            room = room.min((mean + self.many.powi(2) * CHANCE.0 * mean.sqrt()).max(slack));
-            strain = strain.max(t.crowd / FULL);
-        }
-        let hopeless = hint * t.pace > worth_by - now && strain > HOPELESS;
-        if hopeless || t.out > room * (class.worth / t.worth).powf(0.25) * r.allowance {
-            return actions.push(Action::Refuse { request: r.id, keep_away: self.set.max_keep_away });
-        }
-        self.spare = (self.spare + COPY_SHARE).min(1.0);
-        let mut turn = f64::NEG_INFINITY;
-        if let Some(key) = r.key.filter(|_| class.sequential) {
-            let turns = self.turns.entry(key).or_default();
-            turn = if turns.queue.is_empty() { turns.rested } else { f64::INFINITY };
-            turns.queue.push_back(r.id.0);
-        }
-        let (class, key, attempts) = (r.class, r.key, Vec::new());
-        self.requests
-            .insert(r.id.0, Request { class, key, work, hint, worth_by, turn, open: true, attempts });
-        self.with(now, r.id, actions, |me, req, actions| me.advance(now, r.id, req, actions));
-    }
-
     /// The next step of an open request: a send, where nothing is out also a hold or the end.
     fn advance(&mut self, now: f64, id: RequestId, req: &mut Request, actions: Out) {
         let (idle, again) = (req.out() == 0, !req.attempts.is_empty());
@@ -664,55 +391,6 @@
             && !(unsafe_ && req.attempts.iter().any(|a| !a.never_ran))
     }
 
-    /// The gate of every send to a host.
-    fn may_send(&self, now: f64, req: &Request, host: usize) -> bool {
-        let h = &self.hosts[host];
-        let dropped = |a: &Attempt| match self.set.classes[req.class].effect {
-            Effect::Keyed { group, window } => {
-                now < a.sent + window.as_secs_f64() && group.joins(&self.hosts[a.host].entry, &h.entry)
-            }
-            _ => true,
-        };
-        now >= req.turn
-            && h.tokens >= 1.0
-            && req.attempts.iter().all(|a| a.host != host && (a.never_ran || dropped(a)))
-    }
-
-    /// The ready host with the lowest (in-flight + 1) x E among those that may be sent to.
-    fn pick(&mut self, now: f64, req: &Request) -> Option<usize> {
-        let (mut best, mut own) = ((f64::INFINITY, None), [(0, f64::INFINITY, 0); 2]);
-        let aim = self.set.classes[req.class].aim.as_secs_f64();
-        let crossing = CROSSING * self.set.cross_zone_price * (1.0 - SPILL * self.traffic.late);
-        let start = self.rng.usize(0..=self.ready.len()); // of equals the first wins
-        for &i in self.ready[start..].iter().chain(&self.ready[..start]) {
-            let h = &self.hosts[i];
-            // An attempt overdue is a sample of at least its age: silence must not look like speed.
-            let mut e = h.out.first().map_or(h.e, |sent| h.e.max(now - sent));
-            // Where this class alone fails, each failure in a row costs an aim, and fades as a raised E does.
-            let ill = h.ill.get(req.class).copied().unwrap_or_default();
-            e += f64::from(ill.count) * aim * lasting(now - ill.last, self.aims.1, ill.count);
-            let away = if h.entry.zone == self.set.zone { 1.0 } else { 1.0 + crossing };
-            let score = (h.out.len() as f64 + 1.0) * e * away;
-            let score = if self.may_send(now, req, i) { score } else { f64::INFINITY };
-            if let Some(key) = req.key.filter(|_| self.set.warm_keys) {
-                let rank = api::mix(key ^ h.entry.hash);
-                if rank > own[0].0 {
-                    own = [(rank, score, i), own[0]];
-                } else if rank > own[1].0 {
-                    own[1] = (rank, score, i);
-                }
-            }
-            if score < best.0 {
-                best = (score, Some(i));
-            }
-        }
-        // The key's own two hosts come first, unless they are crowded or ill.
-        match own.iter().min_by(|a, b| a.1.total_cmp(&b.1)) {
-            Some(&(_, score, host)) if score < CROWDED * best.0 => Some(host),
-            _ => best.1,
-        }
-    }
-
     fn send(&mut self, now: f64, id: RequestId, req: &mut Request, host: usize, actions: Out) {
         let h = &mut self.hosts[host];
         h.out.push(now);
@@ -735,7 +413,7 @@
         (a.out, a.never_ran) = (false, how.never_ran());
         let (host, sent) = (a.host, a.sent);
         self.traffic.out -= f64::from(u8::from(req.out() == 0));
-        let h = &mut self.hosts[host];
+        let (h, t) = (&mut self.hosts[host], &mut self.traffic);
         let _ = h.out.iter().position(|&t| t == sent).map(|at| h.out.remove(at));
         if h.entry.state == HostState::Draining && self.set.release_within.is_some() {
             actions.push(Action::Close { host: h.entry.id });
@@ -745,11 +423,6 @@
         if let Some(key) = req.key.filter(|_| rests && self.set.classes[class].sequential) {
             self.turns.entry(key).or_default().rested = now + self.set.key_rest.as_secs_f64();
         }
-        // Where more is out, a full table of connections is as likely as a process that has ended.
-        if how == Outcome::NoConnection && h.out.is_empty() {
-            self.suspect(now, host);
-        }
-        let (h, t) = (&mut self.hosts[host], &mut self.traffic);
         h.ill.resize(self.set.classes.len(), Ill::default());
         match how {
             Outcome::Served => {
--- /dev/null
+++ b/src/balancer/pick.rs
@@ -0,0 +1,59 @@
+//! Where a request goes: among the hosts that it may be sent to, the one with the lowest (in flight + 1) x E.
+
+use super::{lasting, Attempt, Balancer, Request};
+use crate::api::{self, Effect};
+
+const CROSSING: f64 = 30.0; // what a zone crossing adds to a host's score, times its price, while all is well
+const SPILL: f64 = 0.85; // part of that which goes as requests end unserved: a zone in trouble spills over
+const CROWDED: f64 = 3.0; // a key leaves its own hosts when their score is this many times the best
+
+impl Balancer {
+    /// The gate of every send to a host.
+    pub(super) fn may_send(&self, now: f64, req: &Request, host: usize) -> bool {
+        let h = &self.hosts[host];
+        let dropped = |a: &Attempt| match self.set.classes[req.class].effect {
+            Effect::Keyed { group, window } => {
+                now < a.sent + window.as_secs_f64() && group.joins(&self.hosts[a.host].entry, &h.entry)
+            }
+            _ => true,
+        };
+        now >= req.turn
+            && h.tokens >= 1.0
+            && req.attempts.iter().all(|a| a.host != host && (a.never_ran || dropped(a)))
+    }
+
+    /// The ready host with the lowest (in-flight + 1) x E among those that may be sent to.
+    pub(super) fn pick(&mut self, now: f64, req: &Request) -> Option<usize> {
+        let (mut best, mut own) = ((f64::INFINITY, None), [(0, f64::INFINITY, 0); 2]);
+        let aim = self.set.classes[req.class].aim.as_secs_f64();
+        let crossing = CROSSING * self.set.cross_zone_price * (1.0 - SPILL * self.traffic.late);
+        let start = self.rng.usize(0..=self.ready.len()); // of equals the first wins
+        for &i in self.ready[start..].iter().chain(&self.ready[..start]) {
+            let h = &self.hosts[i];
+            // An attempt overdue is a sample of at least its age: silence must not look like speed.
+            let mut e = h.out.first().map_or(h.e, |sent| h.e.max(now - sent));
+            // Where this class alone fails, each failure in a row costs an aim, and fades as a raised E does.
+            let ill = h.ill.get(req.class).copied().unwrap_or_default();
+            e += f64::from(ill.count) * aim * lasting(now - ill.last, self.aims.1, ill.count);
+            let away = if h.entry.zone == self.set.zone { 1.0 } else { 1.0 + crossing };
+            let score = (h.out.len() as f64 + 1.0) * e * away;
+            let score = if self.may_send(now, req, i) { score } else { f64::INFINITY };
+            if let Some(key) = req.key.filter(|_| self.set.warm_keys) {
+                let rank = api::mix(key ^ h.entry.hash);
+                if rank > own[0].0 {
+                    own = [(rank, score, i), own[0]];
+                } else if rank > own[1].0 {
+                    own[1] = (rank, score, i);
+                }
+            }
+            if score < best.0 {
+                best = (score, Some(i));
+            }
+        }
+        // The key's own two hosts come first, unless they are crowded or ill.
+        match own.iter().min_by(|a, b| a.1.total_cmp(&b.1)) {
+            Some(&(_, score, host)) if score < CROWDED * best.0 => Some(host),
+            _ => best.1,
+        }
+    }
+}
