Clear a suspected host by one answer as quick as ever

Changed: no sign while an attempt is out there; a suspected host that answers within its E is cleared at once, since a cold one takes several times as long; ends within 5 ms of the last one's idle time count as usual too.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -60,6 +60,7 @@
     served: f64,                            // when it last served anything
     ill: Vec<Ill>,                          // by class
     tokens: f64,                            // sends that it may get now; without end once it is warm
+    cleared: f64,                           // its start, should it turn out that it has not started anew
     untold: bool,                           // taken for started, and discovery has not said so
     report: Option<(api::LoadReport, f64)>, // its last load report and when that was heard
     held: f64, // what it reports to hold and to serve a second, all gateways together
@@ -431,6 +432,7 @@
                 t.served.count += f64::from(u8::from(now <= req.worth_by));
                 t.warm.count += f64::from(u8::from(h.tokens.is_infinite()));
                 follow(&mut t.class_latency[class], y);
+                self.clear(host, y / work);
                 self.observe(now, host, y / work);
                 follow(&mut self.traffic.latency, y);
                 if req.hint > 0.0 {
--- a/src/balancer/knowledge.rs
+++ b/src/balancer/knowledge.rs
@@ -11,8 +11,11 @@
 /// A host that ends the last idle connection to it may be a process that has ended and comes back cold; not where the
 /// connection was idle for about as long as the one ended before, within this part: then that is how long it keeps any.
 const LAPSE: f64 = 0.1;
+const LAPSE_S: f64 = 0.005; // and so many seconds: some close right after each answer
 /// It is sent this part of what a cold one may be: gateways that held no connection to it go on as before.
 pub(super) const UNTOLD: f64 = 0.5;
+/// It is cleared by one answer as quick as ever, where hosts begin with this part of their work at most.
+const CLEAR: f64 = 0.5;
 const HELD_S: f64 = 0.7; // time constants of what hosts report to hold and to serve, in seconds
 const QPS_S: f64 = 5.0;
 
@@ -110,7 +113,7 @@
     /// Books that a host has ended an idle connection. A process that ends does so to all gateways in one moment, long
     /// before discovery tells of it.
     pub(super) fn take_close(&mut self, now: f64, host: HostId, idle: f64, left: usize) {
-        let usual = (idle - self.lapse).abs() <= LAPSE * self.lapse;
+        let usual = (idle - self.lapse).abs() <= LAPSE * self.lapse + LAPSE_S;
         self.lapse = idle;
         if left == 0 && !usual {
             self.suspect(now, host.0 as usize);
@@ -118,19 +121,30 @@
     }
 
     /// Takes a host for a new process that nobody has told of. It begins with the little that a cold one may be sent, at
-    /// a random place, or the first sends of all gateways would arrive together.
+    /// a random place, or the first sends of all gateways would arrive together. Not while anything is out there: that
+    /// would have ended too.
     pub(super) fn suspect(&mut self, now: f64, host: usize) {
         // Most of them at once is no restart that one could spare: somebody has to serve.
         let cold = self.ready.iter().filter(|&&i| self.hosts[i].tokens.is_finite()).count();
         let spared = 2 * (cold + 1) <= self.ready.len();
         let first = self.rng.f64();
         if let Some(h) = self.hosts.get_mut(host) {
-            if spared && h.tokens.is_infinite() && h.entry.state == HostState::Up {
-                (h.started, h.tokens, h.untold) = (h.started.max(now), first, true);
+            let idle = h.out.is_empty() && h.entry.state == HostState::Up;
+            if spared && idle && h.tokens.is_infinite() {
+                (h.cleared, h.untold) = (h.started, true);
+                (h.started, h.tokens) = (h.started.max(now), first);
             }
         }
     }
 
+    /// A suspected host has served: one that is cold takes several times as long as it used to.
+    pub(super) fn clear(&mut self, host: usize, y: f64) {
+        let h = &mut self.hosts[host];
+        if h.untold && y <= h.detector.estimate() && self.set.cold_from <= CLEAR {
+            (h.started, h.tokens, h.untold) = (h.cleared, f64::INFINITY, false);
+        }
+    }
+
     pub(super) fn observe(&mut self, now: f64, host: usize, y: f64) {
         self.mean = if self.traffic.latency > 0.0 { self.mean } else { y * self.hosts[host].size };
         let prior = self.prior(&self.hosts[host]);
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -454,6 +454,11 @@
     assert!(all(&sent_after(&[(1, 700, 1)])), "another connection is left: the process is there");
     let sent = sent_after(&[(1, 700, 0), (2, 720, 0)]);
     assert!(!sent.contains(&1) && sent.contains(&2), "idle for as long as the one before: {sent:?}");
+    let mut bench = among_many();
+    bench.give(Event::Closed { host: HostId(1), idle: Duration::from_millis(700), left: 0 });
+    bench.serve(400, |_| 20);
+    let sent: Vec<_> = (0..8).filter_map(|_| bench.request(0, None)).collect();
+    assert!(sent.contains(&1), "it has answered as quickly as ever: {sent:?}");
     let sent = sent_after(&[(0, 700, 0), (1, 2000, 0), (2, 150, 0), (3, 4000, 0)]);
     assert!(sent.contains(&2) && sent.contains(&3), "no more than half at once: {sent:?}");
 }
