--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -173,7 +173,7 @@
 
     /// Closes, for as long as it runs, what has been idle for long or was closed by its host: either only takes up a
     /// descriptor and a place at the host. What a host closed early is told: at once where the connection has been idle
-    /// for [`LOOK`], else within that.
+    /// for 50 ms, else within that.
     ///
     /// Cancel safe: what is dropped with it is only the wish to be woken.
     pub async fn sweep(&self, tell: impl Fn(Closed)) {
