Know ends of several connections of one host for one, and prove the sign on sockets

Two idle connections of a host that ended were seen one after the other; the first set the habit that the second was then held to, so it was no sign.

Changed: ends of one host within 100 ms belong together and are held against the one before them. The test of late gateways now fails if the front deals to them early.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -579,6 +579,50 @@
     }
 }
 
+/// A process that ends closes its connections long before discovery tells: what may have started anew is sent little.
+#[test]
+fn sends_little_to_a_host_that_ended_its_idle_connections() {
+    let hangs = Arc::new(AtomicBool::new(false));
+    let host = |_| {
+        let hangs = hangs.clone();
+        ScriptedNode::start(move |_| {
+            sleep(Duration::from_millis(20));
+            if hangs.load(Ordering::SeqCst) {
+                Reply::Hang
+            } else {
+                Reply::ok("ok")
+            }
+        })
+    };
+    let hosts: Vec<_> = (0..2).map(host).collect();
+    let discovery = ScriptedRegister::start();
+    let mut config = config("127.0.0.1:1", 1024, &entries(&hosts, &[1, 2]));
+    // So little that hardly anything comes due while a busy machine stands still.
+    config["settings"]["safety"]["cold_from"] = json!(0.01);
+    config["settings"]["safety"]["cold_s"] = json!(3600.0);
+    let gateway = Gateway::start_with(&PROGRAM, "ended", &discovery, &config);
+    let mut clients: Vec<_> = (0..12).map(|_| gateway.connect()).collect();
+    // Two at a time, so that both hosts serve; enough for the admission to let all twelve in later.
+    for _ in 0..30 {
+        clients[..2].iter_mut().for_each(|client| client.send("look"));
+        assert!(clients[..2].iter_mut().all(|c| c.read().is_some_and(|answer| answer.status() == 200)));
+    }
+    assert!(hosts.iter().all(|h| h.count() > 10));
+    sleep(Duration::from_millis(200));
+    hosts[0].close_all();
+    // Nothing shows from outside when the gateway has seen it: within 50 ms, on a machine that has time.
+    sleep(Duration::from_secs(1));
+    hangs.store(true, Ordering::SeqCst);
+    let before = hosts[0].count();
+    let all = sent(&hosts) + clients.len();
+    clients.iter_mut().for_each(|client| client.send("look"));
+    wait_for("all to be sent", || sent(&hosts) == all);
+    // Half of them, were nothing known.
+    assert!(hosts[0].count() - before <= 3, "{} of 12", hosts[0].count() - before);
+    hosts.iter().for_each(ScriptedNode::release);
+    assert!(clients.iter_mut().all(|client| client.read().is_some_and(|answer| answer.status() == 200)));
+}
+
 #[test]
 fn answers_what_it_holds_before_it_ends() {
     let host = ScriptedNode::start(|r| if r.first.contains("once") { Reply::Hang } else { Reply::ok("ok") });
--- a/crates/rig/tests/scripts.rs
+++ b/crates/rig/tests/scripts.rs
@@ -255,6 +255,8 @@
     // A quarter of 300 a second for five seconds.
     assert!((200..600).contains(&fresh.asked), "{}", report.to_text());
     assert!(fresh.service > 0.9 && fresh.others > 0.9, "{}", report.to_text());
+    // Before that it knows no node, and would refuse a quarter of everything.
+    assert!(report.service.as_ref().is_some_and(|s| s.whole > 0.9), "{}", report.to_text());
     assert_eq!(run(&script("name = \"all\"\nlasts = \"1s\""), 1).fresh, None);
     let wrong = Script::parse("wrong.toml", "name = \"none\"\n[fleet]\ngateways = 4\njoining = 4\n");
     assert!(wrong.expect_err("nobody serves").to_string().contains("wrong.toml:4: fleet.joining"));
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -153,6 +153,15 @@
     worth: f64,
 }
 
+/// The last idle connection that a host ended: when, how long it had been idle, and the one before of another moment.
+#[derive(Clone, Copy, Debug)]
+struct Ended {
+    host: HostId,
+    at: f64,
+    usual: f64,
+    last: f64,
+}
+
 /// The decisions of one gateway: feed it events, carry out the actions.
 #[derive(Clone, Debug)]
 pub struct Balancer {
@@ -174,7 +183,7 @@
     asking: bool, // discovery: an answer is awaited; calls failed in a row, below 0 before the first list
     asks_failed: i32,
     closing: bool, // A timer for closing on drains is set
-    lapse: f64,    // how long the connection that a host ended last had been idle
+    ended: Ended,
 }
 
 impl Balancer {
@@ -201,7 +210,7 @@
             asking: false,
             asks_failed: -1,
             closing: false,
-            lapse: 0.0,
+            ended: Ended { host: HostId(u32::MAX), at: f64::NEG_INFINITY, usual: 0.0, last: 0.0 },
         }
     }
 
--- a/src/balancer/knowledge.rs
+++ b/src/balancer/knowledge.rs
@@ -1,6 +1,6 @@
 //! What is known of hosts: from lists, from their reports and answers, and from the ends of idle connections.
 
-use super::{Balancer, Cusum, Host, Out, RETEST};
+use super::{Balancer, Cusum, Ended, Host, Out, RETEST};
 use crate::api::{self, HostId, HostState, Weights};
 use rustc_hash::FxHashMap;
 
@@ -12,6 +12,7 @@
 /// connection was idle for about as long as the one ended before, within this part: then that is how long it keeps any.
 const LAPSE: f64 = 0.1;
 const LAPSE_S: f64 = 0.005; // and so many seconds: some close right after each answer
+const BURST_S: f64 = 0.1; // ends of one host's connections within so many seconds belong together
 /// It is sent this part of what a cold one may be: gateways that held no connection to it go on as before.
 pub(super) const UNTOLD: f64 = 0.5;
 /// It is cleared by one answer as quick as ever, where hosts begin with this part of their work at most.
@@ -113,9 +114,11 @@
     /// Books that a host has ended an idle connection. A process that ends does so to all gateways in one moment, long
     /// before discovery tells of it.
     pub(super) fn take_close(&mut self, now: f64, host: HostId, idle: f64, left: usize) {
-        let usual = (idle - self.lapse).abs() <= LAPSE * self.lapse + LAPSE_S;
-        self.lapse = idle;
-        if left == 0 && !usual {
+        // Several of one host that end together were idle for alike times too, and say nothing of its habit.
+        let burst = self.ended.host == host && now - self.ended.at < BURST_S;
+        let usual = if burst { self.ended.usual } else { self.ended.last };
+        self.ended = Ended { host, at: now, usual, last: idle };
+        if left == 0 && (idle - usual).abs() > LAPSE * usual + LAPSE_S {
             self.suspect(now, host.0 as usize);
         }
     }
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -452,6 +452,8 @@
     let sent = sent_after(&[(1, 700, 0)]);
     assert!(!sent.is_empty() && !sent.contains(&1), "{sent:?}");
     assert!(all(&sent_after(&[(1, 700, 1)])), "another connection is left: the process is there");
+    let sent = sent_after(&[(1, 700, 1), (1, 705, 0)]);
+    assert!(!sent.contains(&1), "two that ended together: {sent:?}");
     let sent = sent_after(&[(1, 700, 0), (2, 720, 0)]);
     assert!(!sent.contains(&1) && sent.contains(&2), "idle for as long as the one before: {sent:?}");
     let mut bench = among_many();
