Hold a tenant to its quota as well as to its part of the traffic

Seen on reading the change again: where other tenants rest, one within its quota is most of what a gateway sees and was taken for beyond its share; the page claimed that a front deals every tenant alike. Changed: both its part and its rate times the number of gateways must exceed. Damping's tallies and reasons say that they also stand for damping switched off.

--- a/crates/control/src/storm/mod.rs
+++ b/crates/control/src/storm/mod.rs
@@ -59,12 +59,14 @@
     pub most: Duration,
     /// Each tenant's quota, requests a second over all gateways.
     pub quotas: &'a [f64],
+    /// How many gateways there are, this one included.
+    pub gateways: u32,
 }
 
 /// How many requests got their allowance for which reason, since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Tally {
-    /// While all was calm.
+    /// While all was calm, or with damping off.
     pub calm: u64,
     /// First tries in a storm.
     pub first: u64,
@@ -96,7 +98,7 @@
 /// Why a request got the allowance that it got.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reason {
-    /// Nothing is wrong.
+    /// Nothing is wrong, or damping is off.
     Calm,
     /// A first try.
     First,
@@ -147,7 +149,7 @@
             returns: Returns::new(terms.cold_from, terms.cold_for, terms.most, seed),
             seen: Seen::new(settings.remembers, settings.memory),
             promised: Promised::new(settings.memory),
-            shares: Shares::new(terms.quotas),
+            shares: Shares::new(terms.quotas, terms.gateways),
             tally: Tally::default(),
             change: None,
             settings,
--- a/crates/control/src/storm/share.rs
+++ b/crates/control/src/storm/share.rs
@@ -43,33 +43,48 @@
 /// A tenant is beyond its share once it surely asks more than this many times that.
 const BEYOND: f64 = 1.1;
 
-/// Which tenants ask more than their share, by this gateway's own traffic. A front deals every tenant's requests to all
-/// gateways alike, so a tenant's part of what one gateway sees is its part of all.
+/// Which tenants ask more than their share, by this gateway's own traffic alone: surely a larger part of it, and, times the
+/// number of gateways, more than the quota. Both, since either errs: the part where others ask for less than is theirs or
+/// where a front deals a tenant's requests to few gateways; the rate where a front deals unevenly or the number is wrong.
 #[derive(Clone, Debug)]
 pub struct Shares {
-    /// Each tenant's share of the service, from 0 to 1; and its requests.
-    tenants: Vec<(f64, Fading)>,
+    tenants: Vec<Tenant>,
     all: Fading,
+    gateways: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Tenant {
+    /// Requests a second over all gateways; 0 for no quota.
+    quota: f64,
+    /// Its part of all quotas.
+    share: f64,
+    asked: Fading,
 }
 
 impl Shares {
-    /// From the quotas, requests a second over all gateways. A quota that is no positive number gives no share, and its
-    /// tenant is never beyond it.
-    pub fn new(quotas: &[f64]) -> Shares {
+    /// From the quotas, requests a second over all of so many gateways. A quota that is no positive number is none, and
+    /// its tenant is never beyond it.
+    pub fn new(quotas: &[f64], gateways: u32) -> Shares {
         let fit = |quota: f64| if quota.is_finite() && quota > 0.0 { quota } else { 0.0 };
         let whole: f64 = quotas.iter().map(|q| fit(*q)).sum();
-        let share = |quota: &f64| if whole > 0.0 { fit(*quota) / whole } else { 0.0 };
-        let tenants = quotas.iter().map(|q| (share(q), Fading::default())).collect();
-        Shares { tenants, all: Fading::default() }
+        let tenant = |quota: &f64| {
+            let quota = fit(*quota);
+            Tenant { quota, share: quota / whole.max(f64::MIN_POSITIVE), asked: Fading::default() }
+        };
+        let gateways = f64::from(gateways.max(1));
+        Shares { tenants: quotas.iter().map(tenant).collect(), all: Fading::default(), gateways }
     }
 
-    /// A request of a tenant comes; whether the tenant is surely within its share. One that is not known is.
+    /// A request of a tenant comes; whether the tenant may be within its share. One that is not known is.
     pub fn within(&mut self, now: Duration, tenant: usize) -> bool {
         let now = now.as_secs_f64();
         self.all.add(now, WINDOW_S, 1.0);
         let all = self.all.at(now, WINDOW_S);
-        let Some((share, asked)) = self.tenants.get_mut(tenant) else { return true };
-        asked.add(now, WINDOW_S, 1.0);
-        *share <= 0.0 || surely(asked.at(now, WINDOW_S), all) <= BEYOND * *share
+        let Some(tenant) = self.tenants.get_mut(tenant) else { return true };
+        tenant.asked.add(now, WINDOW_S, 1.0);
+        let asked = tenant.asked.at(now, WINDOW_S);
+        let more = asked / WINDOW_S * self.gateways > tenant.quota;
+        tenant.quota <= 0.0 || !more || surely(asked, all) <= BEYOND * tenant.share
     }
 }
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -147,6 +147,7 @@
             cold_for: set.cold_for,
             most: set.max_keep_away,
             quotas: &set.quotas,
+            gateways: set.gateways,
         };
         let storm = Storm::new(storms, terms, self.seed);
         self.storm = Some(storm);
--- a/crates/rig/src/simulate/mod.rs
+++ b/crates/rig/src/simulate/mod.rs
@@ -299,6 +299,7 @@
                         cold_for: settings.cold_for,
                         most: settings.max_keep_away,
                         quotas: &settings.quotas,
+                        gateways: settings.gateways,
                     };
                     Storm::new(s, terms, draws.number(For::Advice, g as u64))
                 }),
