Send cold hosts what their tokens allow: their E is that of their kind

At fault: `h.e = prior / warmth` in upkeep. The warmth there is the least that the settings allow, up to eight times too low. A second bound on top of the tokens, it kept a hundred gateways from sending what all tokens together allow, and it lasted: without a send nothing is heard that would correct it.

Change: a cold host nothing was heard of is taken for as quick as its kind; tokens alone bound what it gets.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -333,7 +333,9 @@
         for &i in &self.ready {
             let (warmth, prior) = (self.warmth(now, &self.hosts[i]), self.prior(&self.hosts[i]));
             let h = &mut self.hosts[i];
-            h.e = prior / warmth;
+            // Tokens bound what a cold one gets, so that no queue forms there: a request takes about what it takes at
+            // its kind's, while those of the warm ones grow.
+            h.e = prior;
             // A kind that is slower when warm is slower when cold.
             let speed = (mean / prior).clamp(0.5, 2.0);
             let share = if h.untold { knowledge::UNTOLD * COLD_SHARE } else { COLD_SHARE };
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -435,6 +435,17 @@
     assert!(!sent.is_empty() && !sent.contains(&1), "{sent:?}");
 }
 
+#[test]
+fn a_cold_host_gets_what_its_tokens_allow_though_nothing_was_heard_of_it() {
+    let mut bench = Bench::new(Settings { gateways: 100, ..settings() }, 4);
+    bench.serve(200, |_| 20);
+    let started = Some(bench.now);
+    bench.give(Event::Hosts { full: false, hosts: &[Host { zone: 0, ..host(4, started) }] });
+    let counts = bench.serve(100, |_| 20); // 2 s, in which each warm one would serve 25
+    let allowed = 3.0 * 0.2 * 25.0; // as many times its warmth, which is 0.15 to 0.24
+    assert!(counts[4] >= 5 && f64::from(counts[4]) <= allowed + 2.0, "{}", counts[4]);
+}
+
 /// Who is sent to at once after hosts have ended idle connections: (host, idle milliseconds, left).
 fn sent_after(closes: &[(u32, u64, usize)]) -> Vec<u32> {
     let mut bench = among_many();
