--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`plan`] of requests fixed ahead, and the same [`ledger`].
 
 pub mod client;
+pub mod count;
 pub mod draws;
 pub mod fleet;
 pub mod ledger;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,6 +1,7 @@
 //! The rig's command line: play a script on sockets or in virtual time, or check it.
 
 use clap::{Parser, Subcommand};
+use ottervane_rig::count;
 use ottervane_rig::live::gateways::Program;
 use ottervane_rig::replay::replay;
 use ottervane_rig::report::{Counts, Report};
@@ -43,6 +44,20 @@
     },
     /// Play a study: scripts x gateways x seeds x variants in virtual time, over all cores.
     Sweep(SweepArgs),
+    /// Count over all gateways what their logs tell ([log] format = "json", level = "debug"), one file a gateway.
+    Count {
+        /// The folder of logs.
+        folder: PathBuf,
+        /// How long a line's stretch of time is, in seconds.
+        #[arg(long, default_value_t = 1.0, value_parser = positive)]
+        every: f64,
+        /// Nodes are counted from this second on.
+        #[arg(long, default_value_t = 0.0)]
+        from: f64,
+        /// And up to this one.
+        #[arg(long, default_value_t = f64::INFINITY)]
+        until: f64,
+    },
     /// Say whether a script is as it should be.
     Check {
         /// The script.
@@ -127,6 +142,11 @@
     Ok(path)
 }
 
+fn positive(text: &str) -> Result<f64, String> {
+    let seconds = text.parse().ok().filter(|s: &f64| s.is_finite() && *s > 0.0);
+    seconds.ok_or_else(|| "it must be a number of seconds above 0".to_owned())
+}
+
 fn write_file(path: &Path, text: &str) -> Result<(), String> {
     std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))
 }
@@ -219,6 +239,10 @@
             println!("{}: {}", script.name, script.about);
             Ok(ExitCode::SUCCESS)
         }
+        Sub::Count { folder, every, from, until } => {
+            print!("{}", count::Counts::of(&folder, every, (from, until))?.tables());
+            Ok(ExitCode::SUCCESS)
+        }
         Sub::Sweep(arguments) => run_study(&arguments),
         Sub::Simulate { play } => {
             let script = read(&play.script)?;
--- /dev/null
+++ b/crates/rig/tests/count.rs
@@ -0,0 +1,92 @@
+//! Counting over a fleet, on logs made here.
+
+use ottervane_rig::count::{CountError, Counts};
+use std::fs;
+use std::path::PathBuf;
+
+/// A folder of its own, gone at the end.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn with(name: &str, files: &[(&str, &str)]) -> Folder {
+        let folder = std::env::temp_dir().join(format!("ottervane-count-{name}-{}", std::process::id()));
+        fs::create_dir_all(&folder).expect("a folder");
+        for (file, text) in files {
+            fs::write(folder.join(file), text).expect("a file");
+        }
+        Folder(folder)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0); // left behind it harms nobody
+    }
+}
+
+fn line(prefix: &str, second: f64, fields: &str) -> String {
+    format!(
+        "{prefix}{{\"timestamp\":\"2026-12-01T18:03:{second:09.6}Z\",\"level\":\"DEBUG\",\"fields\":{{{fields}}}}}\n"
+    )
+}
+
+#[test]
+fn two_gateways_are_counted_together_by_stretch_and_node() {
+    let sent = r#""message":"sent","request":1,"attempt":0,"host":"127.0.0.1:1""#;
+    let served = r#""message":"ended","request":1,"attempt":0,"host":"127.0.0.1:1","ms":40,"how":"Served""#;
+    let late = r#""message":"ended","request":1,"attempt":0,"host":"127.0.0.1:1","ms":300,"how":"TimedOut""#;
+    let listed = r#""message":"listed","host":"127.0.0.1:1","kind":"std-2c","status":"Leaving","since":7"#;
+    let a = [
+        line(
+            "0.100 ",
+            30.1,
+            r#""message":"listed","host":"127.0.0.1:1","kind":"std-2c","status":"Active","since":7"#,
+        ),
+        line("0.200 ", 30.2, sent),
+        line("0.200 ", 30.2, r#""message":"dial","host":"127.0.0.1:1""#),
+        line("0.240 ", 30.24, served),
+        line("0.240 ", 30.24, r#""message":"served","request":1,"attempts":1,"ms":41"#),
+        line("1.500 ", 31.5, r#""message":"refused","request":2,"attempts":0,"ms":0"#),
+        "a line of something else\n".to_owned(),
+    ];
+    let b = [
+        line("1.200 ", 31.2, sent),
+        line("1.510 ", 31.51, late),
+        line("1.510 ", 31.51, r#""message":"refused","request":1,"attempts":1,"ms":300"#),
+        line("1.600 ", 31.6, &format!("{listed}")),
+    ];
+    let folder = Folder::with("two", &[("n0.log", &a.concat()), ("n1.log", &b.concat())]);
+    let counts = Counts::of(&folder.0, 1.0, (0.0, f64::INFINITY)).expect("counts");
+    let (first, second) = (&counts.stretches[&0], &counts.stretches[&1]);
+    assert_eq!((first.sent, first.dialled, first.served.as_slice()), (1, 1, [41].as_slice()));
+    assert_eq!((second.sent, second.refused_at_once, second.refused_later), (1, 1, 1));
+    let node = &counts.nodes["127.0.0.1:1"];
+    assert_eq!((node.sent, node.dialled, node.took.as_slice()), (2, 1, [40].as_slice()));
+    assert_eq!((node.status.as_str(), node.ended["TimedOut"], counts.passed_over), ("Leaving", 1, 1));
+    assert!(counts.tables().contains("127.0.0.1:1"));
+    // Within the first second the node had served one and was told to be active.
+    let early = Counts::of(&folder.0, 1.0, (0.0, 1.0)).expect("counts");
+    let node = &early.nodes["127.0.0.1:1"];
+    assert_eq!((node.sent, node.status.as_str(), node.ended.contains_key("TimedOut")), (1, "Active", false));
+}
+
+#[test]
+fn logs_by_the_wall_clock_begin_at_their_earliest_line() {
+    let arrived = r#""message":"arrived","request":1,"class":0,"repeat":false"#;
+    let files = [("b.log", line("", 33.0, arrived)), ("a.log", line("", 31.5, arrived))];
+    let folder = Folder::with("wall", &files.each_ref().map(|(name, text)| (*name, text.as_str())));
+    let counts = Counts::of(&folder.0, 1.0, (0.0, f64::INFINITY)).expect("counts");
+    assert_eq!(counts.stretches.keys().copied().collect::<Vec<_>>(), [0, 1]);
+}
+
+#[test]
+fn a_folder_without_events_says_what_to_do() {
+    let folder = Folder::with("none", &[("n0.log", "2026-12-01 INFO listening\n{\"half\":\n\u{fffd}\n")]);
+    let error = Counts::of(&folder.0, 1.0, (0.0, 1.0)).expect_err("nothing to count");
+    assert!(
+        matches!(error, CountError::Nothing(_)) && error.to_string().contains("level = \"debug\""),
+        "{error}"
+    );
+    let gone = Counts::of(&folder.0.join("gone"), 1.0, (0.0, 1.0)).expect_err("no folder");
+    assert!(matches!(gone, CountError::Unreadable { .. }));
+}
