Give a cold node's token back for a quick answer, and pass old changes of the list over

Change: an answer within three times what the node's kind takes proves that there is no queue, and gives the send's token back, in the part (1 - 1/gateways)^4. Pushed nodes answer slowly and give none. Suspected ones give none. Beside it: changes of the list that are older than the version held are passed over (an old replica undid a drain), and what is wrong with a list is told with its entry.

--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -3,7 +3,7 @@
 
 pub mod messages;
 
-use crate::discovery::list::{Endpoint, List, Status};
+use crate::discovery::list::{Endpoint, Fault, List, Status};
 use crate::discovery::watch::watch;
 use crate::exchange::Forward;
 use crate::names::Names;
@@ -27,6 +27,9 @@
 use tokio::time::{sleep_until, Instant};
 use tracing::{debug, error, info, warn};
 
+/// So many faults of one list are told, each with its entry.
+const FAULTS_TOLD: usize = 3;
+
 /// A request that is open or has an attempt out.
 struct Entry {
     number: HeaderValue,
@@ -90,6 +93,8 @@
     pool: Rc<Pool>,
     discovery: SocketAddr,
     version: u64,
+    /// What was wrong with the list before.
+    faults: Vec<Fault>,
     watch: u64,
     watching: Option<JoinHandle<()>>,
     rewatch: Rewatch,
@@ -123,6 +128,7 @@
             pool,
             discovery,
             version: 0,
+            faults: Vec::new(),
             watch: 0,
             watching: None,
             rewatch: Rewatch::default(),
@@ -401,8 +407,21 @@
         }
     }
 
-    /// Takes a list of hosts in, or what has changed of it.
+    /// Takes a list of hosts in, or what has changed of it. What is wrong with it costs nothing but itself, and is told
+    /// once until it changes.
     pub fn learn(&mut self, list: List) {
+        let faults = list.faults(self.version, 1 + FAULTS_TOLD);
+        let old = matches!(faults.first(), Some(Fault::Old { .. }));
+        if !faults.is_empty() && faults != self.faults {
+            let told: Vec<_> = faults.iter().take(FAULTS_TOLD).map(Fault::to_string).collect();
+            let more = if faults.len() > FAULTS_TOLD { ", and more" } else { "" };
+            warn!(address = %self.discovery, version = list.index, "discovery: {}{more}", told.join("; "));
+        }
+        self.faults = faults;
+        if old {
+            // The call that brought it is answered, with no news: the module would wait for its answer for ever.
+            return self.decide(Event::Hosts { full: false, hosts: &[] });
+        }
         self.version = list.index;
         self.free_the_gone();
         if list.snapshot {
@@ -643,6 +662,34 @@
         assert_eq!(host, Some(HostId(0)), "its request is open still");
     }
 
+    /// An old replica, or an answer overtaken on its way, must not undo a drain.
+    #[tokio::test]
+    async fn a_bad_list_costs_only_itself_and_an_old_one_nothing() {
+        let local = LocalSet::new();
+        let _inside = local.enter();
+        let (mut gateway, _handle) = gateway();
+        let news = |text: &str| serde_json::from_str::<List>(text).expect("a list");
+        gateway.learn(news(
+            r#"{"index":7,"snapshot":true,"endpoints":[{"name":"a","address":"127.0.0.1:1"},{"name":"b","address":"127.0.0.1:2"}]}"#,
+        ));
+        gateway.learn(news(
+            r#"{"index":9,"endpoints":[{"name":"a","address":"127.0.0.1:1","status":"leaving"}]}"#,
+        ));
+        gateway.learn(news(r#"{"index":8,"endpoints":[{"name":"a","address":"127.0.0.1:1"}]}"#));
+        let state = |gateway: &Gateway, name: &str| {
+            gateway.host_ids.get(name).map(|id| gateway.listed[id.0 as usize].state)
+        };
+        assert_eq!(state(&gateway, "a"), Some(HostState::Draining), "the older word is passed over");
+        assert_eq!(gateway.version, 9);
+        gateway.learn(news(
+            r#"{"index":10,"endpoints":[{"name":"b","address":"nowhere"},{"name":"c","address":"127.0.0.1:3","status":"leaving"},{"name":"c","address":"127.0.0.1:3"},{"name":"d","address":"?"}]}"#,
+        ));
+        assert_eq!(state(&gateway, "b"), Some(HostState::Up), "it keeps the address it is known by");
+        assert_eq!(state(&gateway, "c"), Some(HostState::Up), "the last one counts");
+        assert_eq!(state(&gateway, "d"), Some(HostState::Removed), "nowhere to send to");
+        assert_eq!(gateway.faults.len(), 3);
+    }
+
     /// A panic of the module can't be had from outside; what follows one can.
     #[tokio::test]
     async fn starting_over_fails_what_is_held_and_serves_on() {
--- a/crates/gateway/src/discovery/list.rs
+++ b/crates/gateway/src/discovery/list.rs
@@ -1,6 +1,9 @@
 //! The list of hosts, as discovery writes it.
 
+use rustc_hash::FxHashSet;
 use serde::Deserialize;
+use std::fmt;
+use std::net::SocketAddr;
 
 /// A list of hosts, or the changes since the one before.
 #[derive(Debug, Default, Deserialize)]
@@ -63,3 +66,100 @@
     #[serde(other)]
     Unknown,
 }
+
+/// What is wrong with a list that could be read. All but an old one costs its entry only.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Changes older than the list held: a drain heard of since would be undone.
+    Old {
+        /// Its version.
+        index: u64,
+        /// That of the list held.
+        held: u64,
+    },
+    /// An entry whose address is none; a host known by another address keeps that.
+    Address {
+        /// Whose.
+        name: String,
+        /// What stands there.
+        address: String,
+    },
+    /// A name that stands there twice; the last one counts.
+    Twice {
+        /// Which.
+        name: String,
+    },
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Fault::Old { index, held } => {
+                write!(f, "changes of version {index} after version {held}: passed over, the list held stays")
+            }
+            Fault::Address { name, address } => write!(
+                f,
+                "entry {name:?}: {address:?} is no address and port: it is sent nothing unless another is known"
+            ),
+            Fault::Twice { name } => write!(f, "entry {name:?} stands there twice: the last one counts"),
+        }
+    }
+}
+
+impl List {
+    /// What is wrong with it where version `held` is in force, at most `most` faults.
+    pub fn faults(&self, held: u64, most: usize) -> Vec<Fault> {
+        if !self.snapshot && self.index < held {
+            return vec![Fault::Old { index: self.index, held }];
+        }
+        let mut names = FxHashSet::default();
+        let faults = self.endpoints.iter().filter_map(|e| {
+            if !names.insert(&e.name) {
+                return Some(Fault::Twice { name: e.name.clone() });
+            }
+            let wrong = e.status != Status::Left && e.address.parse::<SocketAddr>().is_err();
+            wrong.then(|| Fault::Address { name: e.name.clone(), address: e.address.clone() })
+        });
+        faults.take(most).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn list(text: &str) -> List {
+        serde_json::from_str(text).expect("a list")
+    }
+
+    #[test]
+    fn each_fault_is_told_with_its_entry_and_a_good_list_has_none() {
+        let good =
+            r#"{"index":4,"endpoints":[{"name":"a","address":"127.0.0.1:1"},{"name":"b","status":"left"}]}"#;
+        assert_eq!(list(good).faults(4, 9), []);
+        assert_eq!(list(good).faults(5, 9), [Fault::Old { index: 4, held: 5 }]);
+        let whole = good.replace("\"index\":4", "\"index\":4,\"snapshot\":true");
+        assert_eq!(list(&whole).faults(5, 9), [], "a register that lost its versions tells all it has");
+        let bad = r#"{"endpoints":[{"name":"a","address":"here"},{"name":"c","address":"127.0.0.1:1"},{"name":"c"}]}"#;
+        let faults = list(bad).faults(0, 9);
+        assert_eq!(faults.len(), 2, "{faults:?}");
+        assert!(faults[0].to_string().contains("\"a\"") && faults[1].to_string().contains("twice"));
+    }
+
+    proptest! {
+        #[test]
+        fn no_list_makes_it_panic_and_no_more_is_told_than_asked(
+            index in any::<u64>(), held in any::<u64>(), snapshot in any::<bool>(),
+            entries in prop::collection::vec(("[ab]{0,2}", ".{0,12}"), 0..12),
+        ) {
+            let entry = |(name, address): (String, String)| {
+                let known = serde_json::json!({ "name": name, "address": address });
+                serde_json::from_value::<Endpoint>(known).expect("an entry")
+            };
+            let endpoints = entries.into_iter().map(entry).collect();
+            let list = List { index, snapshot, endpoints };
+            prop_assert!(list.faults(held, 3).len() <= 3);
+        }
+    }
+}
--- a/crates/rig/tests/at_size.rs
+++ b/crates/rig/tests/at_size.rs
@@ -48,6 +48,13 @@
     assert!(service > 0.97, "{service}");
 }
 
+/// A node whose table is full refuses connections and is no slower for it.
+#[test]
+fn nodes_that_take_connections_from_two_gateways_in_five_serve_all() {
+    let service = play(include_str!("../scripts/scarce-connections.toml"), 1).whole;
+    assert!(service > 0.985, "{service}");
+}
+
 /// The share of a cold node's budget that a gateway takes is by its own traffic, not by the number it is told.
 #[test]
 fn a_wrong_number_of_gateways_pushes_no_node_over_and_costs_little() {
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -26,6 +26,10 @@
 const FIRST_E: f64 = 0.25; // part of the shortest aim that stands in for E until anything is heard
 const COPY_SHARE: f64 = 0.03; // second copies that each first try pays for
 const RETRY: f64 = 0.15; // what a retry costs of a copy: it follows an attempt that did no work, or lost it
+/// A cold host that answers within so many times what its kind takes has no queue: one at a third of its speed takes three
+/// times as long. The send's token comes back then, among many gateways: what is one of theirs is coarse. Once the host is
+/// pushed its answers are slow, and none does.
+const QUICK: f64 = 3.0;
 const LATE: f64 = 0.06; // part of all that ends unserved at which admission is tightest
 /// Parts of the shortest aim that reports say hosts take, from which on admission is not eased, and up to which it is
 /// eased in full.
@@ -446,6 +450,11 @@
                 t.served.count += f64::from(u8::from(now <= req.worth_by));
                 t.warm.count += f64::from(u8::from(h.tokens.is_infinite()));
                 follow(&mut t.class_latency[class], y);
+                let quick = y / work <= QUICK * self.prior(&self.hosts[host]);
+                let h = &mut self.hosts[host];
+                if quick && !h.untold {
+                    h.tokens = h.tokens.max((h.tokens + self.many).min(1.0));
+                }
                 self.clear(host, y / work);
                 self.observe(now, host, y / work);
                 follow(&mut self.traffic.latency, y);
