--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -384,6 +384,40 @@
     }
 }
 
+/// What discovery spoils costs itself only: the list held stays, and a drain that comes after it is heeded.
+#[test]
+fn goes_on_with_its_list_while_discovery_breaks_off_and_sends_what_is_no_list() {
+    let [drained, other] = [(); 2].map(|()| ScriptedNode::start(|_| Reply::ok("ok")));
+    let list = [drained.entry("s-1", 1), other.entry("s-2", 1)];
+    let (gateway, discovery) = start("garbled-discovery", &list);
+    discovery.push(json!("no list at all"));
+    wait_for("a call after what is no list", || discovery.calls() > 1);
+    discovery.break_off("{\"index\": 60, \"snapshot\": true, \"endpoints\": [");
+    wait_for("a call after a list that was broken off", || discovery.calls() > 2);
+    assert_eq!(gateway.ask("look").status(), 200, "the list held stays in force");
+    let bad = json!({"name": "s-9", "address": "nowhere"});
+    let drain =
+        json!({"name": "s-1", "group": 1, "address": drained.address.to_string(), "status": "leaving"});
+    discovery.push(json!({"index": 61, "snapshot": false, "endpoints": [bad, drain.clone(), drain]}));
+    // A gateway is told once discovery has written it; the next list comes after it on the same watch.
+    wait_for("the drain", || {
+        let before = drained.count();
+        let statuses: Vec<u16> = (0..6).map(|_| gateway.ask("look").status()).collect();
+        assert_eq!(statuses, [200; 6]);
+        drained.count() == before
+    });
+    discovery.push(json!({"index": 59, "snapshot": false, "endpoints": [drained.entry("s-1", 1)]}));
+    discovery.push(
+        json!({"index": 62, "snapshot": false, "endpoints": [json!({"name": "s-3", "status": "left"})]}),
+    );
+    let before = drained.count();
+    for _ in 0..20 {
+        assert_eq!(gateway.ask("look").status(), 200);
+        sleep(Duration::from_millis(10));
+    }
+    assert_eq!(drained.count(), before, "an older word undoes no drain");
+}
+
 #[test]
 fn asks_again_when_the_watch_falls_silent() {
     let host = ScriptedNode::start(|_| Reply::ok("ok"));
--- a/crates/rig/src/scripted.rs
+++ b/crates/rig/src/scripted.rs
@@ -353,6 +353,9 @@
     (socket, address)
 }
 
+/// Marks a line that is broken off.
+const BROKEN_OFF: char = '\u{0}';
+
 /// Discovery: a watch at a time, kept alive by empty lines until it is silenced.
 #[derive(Clone)]
 pub struct ScriptedRegister {
@@ -395,6 +398,12 @@
         }
         loop {
             let line = match lines.recv_timeout(Duration::from_millis(200)) {
+                Ok(line) if line.starts_with(BROKEN_OFF) => {
+                    let part = &line[BROKEN_OFF.len_utf8()..];
+                    // Who has left already sees no more of it either way.
+                    let _ = write!(stream, "{:x}\r\n{part}", part.len() + 100);
+                    return;
+                }
                 Ok(line) => line + "\n",
                 Err(RecvTimeoutError::Timeout) => "\n".to_owned(),
                 Err(RecvTimeoutError::Disconnected) => return,
@@ -420,9 +429,18 @@
 
     /// Waits for the watch, then writes a line to it.
     pub fn push(&self, list: Value) {
+        self.write(list.to_string());
+    }
+
+    /// Waits for the watch, then writes this as the beginning of a line and ends the connection.
+    pub fn break_off(&self, part: &str) {
+        self.write(format!("{BROKEN_OFF}{part}"));
+    }
+
+    fn write(&self, line: String) {
         wait_for("a watch", || self.calls() > 0);
         let lines = self.lines.lock().expect("lock");
-        lines.last().expect("a watch").send(list.to_string()).expect("an open watch");
+        lines.last().expect("a watch").send(line).expect("an open watch");
     }
 }
 
