Let a gateway that starts beside cold hosts only serve: budgets from what is asked

Cause: a cold host's budget is in units of what a warm one serves this gateway. One that starts while every host is cold, after a power cut, has never seen a warm one: the rate stays 0, no budget grows, and it refuses all until the first host is warm, up to 23 s.

Change: until a warm host has served, the rate is that of the gateway's first tries over the ready hosts. Repeats do not count, so that refusals raise no budget. The script power-cut plays it at 100 gateways.

--- a/crates/rig/tests/at_size.rs
+++ b/crates/rig/tests/at_size.rs
@@ -55,6 +55,13 @@
     assert!(service > 0.985, "{service}");
 }
 
+/// Nothing has been served by anybody when all come back: budgets come from what is asked.
+#[test]
+fn after_a_power_cut_nodes_and_gateways_that_start_together_serve() {
+    let service = play(include_str!("../scripts/power-cut.toml"), 2).whole;
+    assert!(service > 0.825, "{service}");
+}
+
 /// The share of a cold node's budget that a gateway takes is by its own traffic, not by the number it is told.
 #[test]
 fn a_wrong_number_of_gateways_pushes_no_node_over_and_costs_little() {
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -148,6 +148,7 @@
     crowd: f64, // requests held a core over all hosts, as listed, and what was out, over the same while
     meant: f64,
     warm: Rate,   // served by one warm host
+    asked: Rate,  // first tries
     out: f64,     // requests with an attempt out
     ease: f64,    // how little hosts report to hold, from 0 to 1
     latency: f64, // mean latency of all requests and of each class, mean hint and mean worth
@@ -334,6 +335,11 @@
         let (mut warm, mut sum, mut heard, mean) = (0.0, 0.0, 0.0, self.mean);
         let (mut held, mut qps) = (0.0, 0.0);
         let mut kinds: FxHashMap<u32, (f64, f64)> = FxHashMap::default();
+        // Where no warm host has served yet, as when nodes and gateways start together, each would be asked its part.
+        let rate = match self.traffic.warm.per_s {
+            served if served > 0.0 => served,
+            _ => self.traffic.asked.per_s / self.ready.len().max(1) as f64,
+        };
         for &i in &self.ready {
             let (warmth, prior) = (self.warmth(now, &self.hosts[i]), self.prior(&self.hosts[i]));
             let h = &mut self.hosts[i];
@@ -345,7 +351,7 @@
             // What falls over is sent overload_factor times what it can do. That many times what a warm one serves, at
             // the least warmth that the settings allow, is less: a warm one is not full, nor a cold one at its least.
             let share = self.set.overload_factor * if h.untold { knowledge::UNTOLD } else { 1.0 };
-            h.tokens = (h.tokens + dt * share * speed * warmth * self.traffic.warm.per_s).min(1.0);
+            h.tokens = (h.tokens + dt * share * speed * warmth * rate).min(1.0);
             if warmth >= 1.0 {
                 (warm, h.tokens, h.untold) = (warm + 1.0, f64::INFINITY, false);
             }
@@ -372,6 +378,7 @@
             t.meant += gain(CROWD_S) * (t.out - t.meant);
             t.served.fold(dt, gain(long));
             t.lost.fold(dt, gain(long));
+            t.asked.fold(dt, gain(RATE_S));
             t.late = (t.lost.per_s / (t.lost.per_s + t.served.per_s).max(1e-9) / LATE).min(1.0);
             if warm > 0.0 {
                 t.warm.fold(dt * warm, gain(RATE_S));
--- a/src/balancer/admission.rs
+++ b/src/balancer/admission.rs
@@ -34,6 +34,7 @@
             return actions.push(Action::Refuse { request: r.id, keep_away: Duration::ZERO });
         };
         let t = &mut self.traffic;
+        t.asked.count += f64::from(u8::from(!r.repeat));
         let hint = r.cost_hint.map_or(0.0, |h| h.as_secs_f64());
         let own = t.class_latency[r.class] / t.latency; // no number before anything was served
         let mut work = if own > 0.0 { own } else { 1.0 };
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -642,3 +642,24 @@
     let request = Request::new(RequestId(bench.id), 0, bench.now + Duration::from_secs(1));
     bench.give(Event::Request(Request { cost_hint: Some(Duration::from_millis(ms)), ..request }));
 }
+
+/// After a power cut nodes and gateways start together: nothing has been served, and every host is cold.
+#[test]
+fn a_fresh_gateway_serves_where_every_host_is_cold() {
+    for gateways in [1, 12, 100] {
+        let mut bench = Bench::new(Settings { gateways, ..settings() }, 0);
+        let started = Some(bench.now);
+        let list: Vec<Host> = (0..12).map(|i| Host { zone: 0, ..host(i, started) }).collect();
+        bench.give(Event::Hosts { full: true, hosts: &list });
+        let mut served = 0;
+        for _ in 0..100 {
+            bench.now += Duration::from_millis(50);
+            if bench.request(0, None).is_some() {
+                served += 1;
+                bench.now += Duration::from_millis(60);
+                bench.outcome(bench.id, 0, Duration::from_millis(60), Outcome::Served);
+            }
+        }
+        assert!(served >= 10, "{served} of 100 with {gateways} gateways");
+    }
+}
