Test a minute of replaced hosts, and tell the way out of a list's faults

Need, from one more read of the whole change: the hard case of hosts replaced every half second for a minute had no test of its own on memory, and the warning on an old list named the cause but not what to do.

Change: 240 hosts come and go in 120 lists with a request out at each; numbers stay at those of 60 hosts at a time. The two warnings say what mends them.

--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -662,6 +662,45 @@
         assert_eq!(host, Some(HostId(0)), "its request is open still");
     }
 
+    /// Two of sixty hosts are replaced by new ones every half second for a minute, some while a request is out there.
+    #[tokio::test]
+    async fn a_minute_of_replaced_hosts_leaves_no_more_numbers_than_hosts() {
+        let local = LocalSet::new();
+        let _inside = local.enter();
+        let (mut gateway, handle) = gateway();
+        let entry = |n: usize, status: &str| serde_json::json!({ "name": format!("s-{n}"), "address": format!("127.0.0.1:{}", 1 + n % 60), "status": status });
+        let whole: Vec<_> = (0..60).map(|n| entry(n, "active")).collect();
+        let list = |index: usize, snapshot: bool, endpoints: Vec<serde_json::Value>| {
+            let list = serde_json::json!({ "index": index, "snapshot": snapshot, "endpoints": endpoints });
+            serde_json::from_value::<List>(list).expect("a list")
+        };
+        gateway.learn(list(1, true, whole));
+        for step in 0..120 {
+            let (held, _answered) = arrival(&handle);
+            let id = held.request.id;
+            gateway.take(Message::Arrived(held));
+            let (old, new) = (2 * step, 60 + 2 * step);
+            let changes = vec![
+                entry(old, "left"),
+                entry(old + 1, "left"),
+                entry(new, "active"),
+                entry(new + 1, "active"),
+            ];
+            gateway.learn(list(2 + step, false, changes));
+            gateway.take(Message::Gone(id));
+            // The attempt is called off, and its task tells so.
+            while gateway.requests.contains_key(&id) {
+                local.run_until(tokio::task::yield_now()).await;
+                while let Ok(message) = gateway.messages.try_recv() {
+                    gateway.take(message);
+                }
+            }
+        }
+        let up = gateway.listed.iter().filter(|h| h.state == HostState::Up).count();
+        assert_eq!((up, gateway.requests.len()), (60, 0));
+        assert!(gateway.hosts.len() <= 70, "{} numbers for 60 hosts at a time", gateway.hosts.len());
+    }
+
     /// An old replica, or an answer overtaken on its way, must not undo a drain.
     #[tokio::test]
     async fn a_bad_list_costs_only_itself_and_an_old_one_nothing() {
--- a/crates/gateway/src/discovery/list.rs
+++ b/crates/gateway/src/discovery/list.rs
@@ -95,11 +95,13 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Fault::Old { index, held } => {
-                write!(f, "changes of version {index} after version {held}: passed over, the list held stays")
+                write!(f, "changes of version {index} after version {held}: passed over, the list held stays; a register that has \
+                 lost its versions must send a whole list, or this gateway be started anew")
             }
             Fault::Address { name, address } => write!(
                 f,
-                "entry {name:?}: {address:?} is no address and port: it is sent nothing unless another is known"
+                "entry {name:?}: {address:?} is no address and port: it is sent nothing unless another is known; \
+                 mend the entry in the register"
             ),
             Fault::Twice { name } => write!(f, "entry {name:?} stands there twice: the last one counts"),
         }
