Answer at a second address, drain on call, and take the clients' listener handed on

The drain and the way out are one machine (control/drain.rs), checked over every course of six steps out of six. It says for how long a connection may rest; that shrinks to nothing, so closes are spread and the longest idle goes first. Figures are counted where things happen.

--- /dev/null
+++ b/crates/control/tests/drain.rs
@@ -0,0 +1,100 @@
+//! The drain and the stop: every interleaving of calls and moments to a stated depth, against what the front and clients see.
+
+use ottervane_control::drain::{Drain, Terms, CLOSED, GENTLE, LISTEN_ON, NOTICED};
+use std::time::Duration;
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Step {
+    On,
+    Off,
+    Stop,
+    Wait(u64),
+}
+
+/// Every sequence of these steps, `DEPTH` long: 6 steps at a depth of 6 are 46,656 courses a listener.
+const STEPS: [Step; 6] = [Step::On, Step::Off, Step::Stop, Step::Wait(5), Step::Wait(600), Step::Wait(2300)];
+const DEPTH: u32 = 6;
+
+/// What is true of the machine at any moment, whatever came before.
+fn holds(drain: &Drain, now: Duration, on: Option<Duration>, stop: Option<Duration>, shared: bool) {
+    let before = drain.clone();
+    assert_eq!(drain.ready(), on.is_none() && stop.is_none(), "ready at {now:?}");
+    let rest = drain.may_rest(now, now);
+    if on.is_none() && stop.is_none() {
+        assert!(!drain.says_goodbye(now) && rest.is_none() && drain.accepts_until(now).is_none());
+        assert!(drain.answers_by().is_none());
+    }
+    if let Some(since) = on {
+        assert!(now < since + NOTICED || drain.says_goodbye(now), "goodbye at {now:?}");
+        // A request that comes now has the 2 s that the page leaves until nothing may be held.
+        assert!(now < since + MS(2000) || rest.is_some_and(|rest| rest <= MS(200)), "{rest:?} at {now:?}");
+    }
+    if let Some(since) = stop {
+        assert!(drain.says_goodbye(now));
+        assert_eq!(drain.accepts_until(since), Some(if shared { since } else { since + LISTEN_ON.0 }));
+        let end = if shared { GENTLE.1 } else { LISTEN_ON.1 };
+        assert!(now < since + end || rest == Some(Duration::ZERO), "{rest:?} at {now:?}");
+        assert!(drain.answers_by() > Some(since + MS(1200)));
+    }
+    // What has been allowed to rest for less than now is not allowed more later, unless the drain is taken back.
+    if let (Some(rest), true) = (rest, now < on.unwrap_or(now) + CLOSED) {
+        let later = drain.may_rest(now + MS(50), now + MS(50));
+        assert!(on.is_none() && !shared || later.is_some_and(|later| later <= rest.max(MS(150))));
+    }
+    assert_eq!(format!("{before:?}"), format!("{drain:?}"), "asking changes nothing");
+}
+
+#[test]
+fn every_course_keeps_its_promises() {
+    for shared in [false, true] {
+        for course in 0..STEPS.len().pow(DEPTH) {
+            let (mut now, mut on, mut stop) = (MS(1000), None, None);
+            let mut drain = Drain::new(Terms { longest: MS(1200), shared });
+            let mut rest = course;
+            for _ in 0..DEPTH {
+                match STEPS[rest % STEPS.len()] {
+                    Step::On => {
+                        assert_eq!(drain.call(now, true), on.is_none(), "a second call is no news");
+                        on = on.or(Some(now));
+                    }
+                    Step::Off => {
+                        assert_eq!(drain.call(now, false), on.is_some());
+                        on = None;
+                    }
+                    Step::Stop => {
+                        assert_eq!(drain.stop(now), stop.is_none());
+                        stop = stop.or(Some(now));
+                    }
+                    Step::Wait(ms) => now += MS(ms),
+                }
+                rest /= STEPS.len();
+                holds(&drain, now, on, stop, shared);
+            }
+        }
+    }
+}
+
+/// The point of the shrinking rest: closes are spread over the time there is, and no moment has more than its part.
+#[test]
+fn closes_are_spread_and_the_longest_idle_goes_first() {
+    let mut drain = Drain::new(Terms { longest: MS(1200), shared: false });
+    drain.call(MS(10_000), true);
+    // A hundred connections, idle for 0 to 1.3 s when the closing begins.
+    let idle: Vec<Duration> = (0..100).map(|n| MS(10_500 - n * 13)).collect();
+    let mut closed = vec![None; idle.len()];
+    for ms in (10_000..12_000).step_by(50) {
+        let now = MS(ms);
+        let mut at_once = 0;
+        for (since, closed) in idle.iter().zip(&mut closed) {
+            if closed.is_none() && drain.may_rest(now, MS(0)).is_some_and(|rest| now - *since >= rest) {
+                *closed = Some(now);
+                at_once += 1;
+            }
+        }
+        assert!(at_once <= 20, "{at_once} closes at {now:?}");
+    }
+    assert!(closed.iter().all(|c| c.is_some_and(|c| c <= MS(11_850))));
+    assert!(closed.windows(2).all(|pair| pair[0] >= pair[1]), "the longest idle first");
+}
--- a/crates/gateway/src/config/platform.rs
+++ b/crates/gateway/src/config/platform.rs
@@ -59,6 +59,8 @@
     listen: String,
     discovery: String,
     #[serde(default)]
+    management: Option<String>,
+    #[serde(default)]
     seed: String,
     #[serde(default)]
     limits: Limits,
@@ -104,12 +106,17 @@
     }
 }
 
+/// The text of an address, where there is one.
+type Chosen = Option<String>;
+
 /// All that the gateway is told.
 pub struct Config {
     /// Where clients connect.
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// Where staff call, if anywhere.
+    pub management: Option<SocketAddr>,
     /// The seed of the decisions.
     pub seed: u64,
     /// What the process may use.
@@ -132,8 +139,12 @@
     /// Reads the configuration at the start: the variables win over the file.
     pub fn at_start() -> Result<Config, ConfigError> {
         Config::read(|key, from_file| {
-            let variable = if key == "listen" { "ROUTER_LISTEN" } else { "ROUTER_DISCOVERY" };
-            env::var(variable).map_or((key, from_file), |value| (variable, value))
+            let variable = match key {
+                "listen" => "ROUTER_LISTEN",
+                "management" => "ROUTER_MANAGEMENT",
+                _ => "ROUTER_DISCOVERY",
+            };
+            env::var(variable).map_or((key, from_file), |value| (variable, Some(value)))
         })
     }
 
@@ -154,7 +165,7 @@
     }
 
     /// Reads the file; `choose` gives the name and the text that hold for the address with a key.
-    fn read(choose: impl Fn(&'static str, String) -> (&'static str, String)) -> Result<Config, ConfigError> {
+    fn read(choose: impl Fn(&'static str, Chosen) -> (&'static str, Chosen)) -> Result<Config, ConfigError> {
         let path = env::var("ROUTER_CONFIG").map_err(|_| ConfigError::NotSet)?;
         let text = fs::read_to_string(&path)
             .map_err(|source| ConfigError::Unreadable { path: path.clone(), source })?;
@@ -164,11 +175,16 @@
     fn parse(
         path: &str,
         text: &str,
-        choose: impl Fn(&'static str, String) -> (&'static str, String),
+        choose: impl Fn(&'static str, Chosen) -> (&'static str, Chosen),
     ) -> Result<Config, ConfigError> {
         let address = |key, from_file| {
             let (name, value) = choose(key, from_file);
-            value.parse().map_err(|_| ConfigError::Address { name, value })
+            let Some(value) = value else { return Ok(None) };
+            value.parse().map(Some).map_err(|_| ConfigError::Address { name, value })
+        };
+        let needed = |key, from_file| {
+            let nowhere = || ConfigError::Unusable(format!("{path}: {key} is missing"));
+            address(key, Some(from_file))?.ok_or_else(nowhere)
         };
         let malformed = |source| ConfigError::Malformed { path: path.to_owned(), source };
         let raw: RawConfig = serde_json::from_str(text).map_err(malformed)?;
@@ -188,8 +204,9 @@
         }
         let plain = |list: Vec<Named>| list.into_iter().map(|n| n.name).collect();
         Ok(Config {
-            listen: address("listen", raw.listen)?,
-            discovery: address("discovery", raw.discovery)?,
+            listen: needed("listen", raw.listen)?,
+            discovery: needed("discovery", raw.discovery)?,
+            management: address("management", raw.management)?,
             seed: stable_hash(&raw.seed),
             limits: raw.limits,
             known: raw.known,
--- a/crates/gateway/src/core/messages.rs
+++ b/crates/gateway/src/core/messages.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::time::Instant;
 
 /// The gateway's clock starts here, so that hosts started before this process have a time on it.
@@ -113,6 +113,7 @@
     requests: Rc<Cell<u64>>,
     hosts_up: Rc<Cell<bool>>,
     connections: Rc<Cell<bool>>,
+    news: Rc<Notify>,
     clock: Clock,
 }
 
@@ -120,8 +121,8 @@
     /// A handle, and what is told through it and its clones.
     pub fn new() -> (Handle, mpsc::UnboundedReceiver<Message>) {
         let (sender, messages) = mpsc::unbounded_channel();
-        let (requests, hosts_up, connections) = Default::default();
-        (Handle { messages: sender, requests, hosts_up, connections, clock: Clock::new() }, messages)
+        let (requests, hosts_up, connections, news) = Default::default();
+        (Handle { messages: sender, requests, hosts_up, connections, news, clock: Clock::new() }, messages)
     }
 
     /// Tells the gateway something. Once it is gone the process ends, and nobody is left to be told.
@@ -147,9 +148,21 @@
         RequestId(self.requests.get())
     }
 
-    /// Whether any host takes work.
-    pub fn hosts_up(&self) -> bool {
-        self.hosts_up.get()
+    /// Where it is to be seen whether any host takes work.
+    pub fn hosts_up(&self) -> Rc<Cell<bool>> {
+        self.hosts_up.clone()
+    }
+
+    /// Discovery has said something.
+    pub fn heard(&self) {
+        self.news.notify_one();
+    }
+
+    /// Waits until discovery has said something.
+    ///
+    /// Cancel safe; for one waiter.
+    pub async fn news(&self) {
+        self.news.notified().await;
     }
 
     /// Notes whether any host takes work.
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -6,6 +6,7 @@
 use crate::discovery::list::{Endpoint, Fault, List, Status};
 use crate::discovery::watch::watch;
 use crate::exchange::Forward;
+use crate::figures::Figures;
 use crate::names::Names;
 use crate::upstream::{Attempt, End, Host, Pool};
 use hyper::header::HeaderValue;
@@ -30,6 +31,9 @@
 /// So many faults of one list are told, each with its entry.
 const FAULTS_TOLD: usize = 3;
 
+/// The figures of the hosts are taken this often; they may be half a second late.
+const FIGURES: Duration = Duration::from_millis(250);
+
 /// A request that is open or has an attempt out.
 struct Entry {
     number: HeaderValue,
@@ -65,6 +69,7 @@
     Module(u64),
     Backstop(RequestId),
     Watch,
+    Figures,
 }
 
 /// Reports how an attempt ended, also where its task panics: the request may have run by then.
@@ -108,6 +113,7 @@
     messages: mpsc::UnboundedReceiver<Message>,
     handle: Handle,
     storm: Option<Storm>,
+    figures: Option<Rc<Figures>>,
 }
 
 impl Gateway {
@@ -142,6 +148,7 @@
             messages,
             handle: handle.clone(),
             storm: None,
+            figures: None,
         };
         (gateway, handle)
     }
@@ -161,6 +168,21 @@
         self.handle.count_connections();
     }
 
+    /// Has the figures of the hosts kept.
+    pub fn keep_figures(&mut self, figures: Rc<Figures>) {
+        self.figures = Some(figures);
+        self.timers.push(Reverse((Instant::now(), Timer::Figures)));
+    }
+
+    fn note_hosts(&mut self) {
+        let Some(figures) = &self.figures else { return };
+        let listed = self.listed.iter().filter(|h| h.state != HostState::Removed).count();
+        let avoided = self.balancer.avoided(self.handle.time(Instant::now()));
+        figures.cluster_size.set(listed as u64);
+        figures.cluster_unhealthy.set(avoided as u64);
+        self.timers.push(Reverse((Instant::now() + FIGURES, Timer::Figures)));
+    }
+
     /// What storm control allows a request.
     fn allowance(&mut self, request: &ottervane::Request) -> f64 {
         let Some(storm) = &mut self.storm else { return 1.0 };
@@ -242,6 +264,7 @@
                 // Another discovery may have been turned to meanwhile.
                 Some(Reverse((_, Timer::Watch))) if self.watching.is_none() => self.subscribe(),
                 Some(Reverse((_, Timer::Watch))) => {}
+                Some(Reverse((_, Timer::Figures))) => self.note_hosts(),
                 None => {}
             }
         }
@@ -331,6 +354,7 @@
             }
             // What a watch said before it was ended may wait here still: it is no news of the present discovery.
             Message::Hosts { watch, list } if watch == self.watch => {
+                self.handle.heard();
                 if let Some(silent) = self.rewatch.heard(self.handle.time(Instant::now())) {
                     info!(address = %self.discovery, after = ?silent, "discovery: news are pushed again");
                 }
@@ -525,7 +549,7 @@
         }
         self.requests.retain(|_, entry| entry.out > 0);
         self.numbers = self.requests.values().map(|entry| entry.number.clone()).collect();
-        self.timers.retain(|Reverse((_, timer))| *timer == Timer::Watch);
+        self.timers.retain(|Reverse((_, timer))| matches!(timer, Timer::Watch | Timer::Figures));
         self.balancer = Balancer::new(self.settings.clone(), self.seed);
         let (mut actions, now) = (Vec::new(), self.handle.time(Instant::now()));
         // Another panic is not caught: a module that cannot take the list in serves nobody, so the process ends.
@@ -627,12 +651,13 @@
         let mut settings = Settings::default();
         settings.classes.push(ottervane::Class::new(Duration::from_secs(10), Duration::from_secs(30)));
         let names = Names { classes: vec!["look".into()], tenants: vec![], zones: vec![], kinds: vec![] };
-        let budget = Budget::new(&Default::default());
+        let budget = Budget::new(&Default::default(), false);
         let pool = Rc::new(Pool::new(
             budget.hosts,
             Duration::from_secs(5),
             Duration::from_secs(10),
             Default::default(),
+            Rc::default(),
         ));
         let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
         Gateway::new(settings, 1, Rc::new(names), pool, nobody)
--- /dev/null
+++ b/crates/gateway/src/figures.rs
@@ -0,0 +1,144 @@
+//! The figures: what this process has done and how it stands, counted where it happens and read at the second address.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::rc::Rc;
+
+/// A request that is open: counted for as long as this lives.
+#[derive(Debug)]
+pub struct Open(Rc<Figures>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.current.set(self.0.current.get() - 1);
+    }
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// Served.
+    Answered,
+    /// Refused: trying again is harmless.
+    Deferred,
+    /// Failed.
+    Errored,
+}
+
+/// The endings of one class's requests.
+#[derive(Clone, Copy, Debug, Default)]
+struct Endings {
+    answered: u64,
+    deferred: u64,
+    errored: u64,
+}
+
+/// The figures. One owner for all of them; a class that is no longer in the settings keeps its own.
+#[derive(Debug, Default)]
+pub struct Figures {
+    classes: RefCell<BTreeMap<String, Endings>>,
+    current: Cell<u64>,
+    /// Attempts written whole to hosts.
+    pub sends: Cell<u64>,
+    /// Hosts in the list, those that are leaving among them.
+    pub cluster_size: Cell<u64>,
+    /// Listed hosts that the module avoids.
+    pub cluster_unhealthy: Cell<u64>,
+    /// Files taken at SIGHUP.
+    pub conf_loaded: Cell<u64>,
+    /// Files turned down at SIGHUP.
+    pub conf_invalid: Cell<u64>,
+}
+
+impl Figures {
+    /// Has the classes stand there from 0.
+    pub fn know(&self, classes: &[String]) {
+        let mut known = self.classes.borrow_mut();
+        for class in classes {
+            known.entry(class.clone()).or_default();
+        }
+    }
+
+    /// A request has been taken.
+    pub fn open(self: &Rc<Self>) -> Open {
+        self.current.set(self.current.get() + 1);
+        Open(self.clone())
+    }
+
+    /// A request of a known class has ended.
+    pub fn ended(&self, class: &str, how: Ending) {
+        if let Some(endings) = self.classes.borrow_mut().get_mut(class) {
+            *match how {
+                Ending::Answered => &mut endings.answered,
+                Ending::Deferred => &mut endings.deferred,
+                Ending::Errored => &mut endings.errored,
+            } += 1;
+        }
+    }
+
+    /// An attempt has been written whole.
+    pub fn sent(&self) {
+        self.sends.set(self.sends.get() + 1);
+    }
+
+    /// A file has come with SIGHUP.
+    pub fn reloaded(&self, taken: bool) {
+        let count = if taken { &self.conf_loaded } else { &self.conf_invalid };
+        count.set(count.get() + 1);
+    }
+
+    /// All of them, a line each, as scrapers read them.
+    pub fn text(&self) -> String {
+        let mut text = String::with_capacity(2048);
+        type Of = fn(&Endings) -> u64;
+        let of_classes: [(&str, Of); 3] =
+            [("answered", |e| e.answered), ("deferred", |e| e.deferred), ("errored", |e| e.errored)];
+        for (name, of) in of_classes {
+            for (class, endings) in &*self.classes.borrow() {
+                let _ = writeln!(text, "router_{name}{{group=\"{}\"}} {}", escaped(class), of(endings));
+            }
+        }
+        let single = [
+            ("sends", &self.sends),
+            ("current", &self.current),
+            ("cluster_size", &self.cluster_size),
+            ("cluster_unhealthy", &self.cluster_unhealthy),
+            ("conf_loaded", &self.conf_loaded),
+            ("conf_invalid", &self.conf_invalid),
+        ];
+        for (name, value) in single {
+            let _ = writeln!(text, "router_{name} {}", value.get());
+        }
+        text
+    }
+}
+
+/// A label's value as the text format wants it.
+fn escaped(value: &str) -> String {
+    value.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_class_stands_there_from_nothing_and_a_dropped_one_keeps_its_counts() {
+        let figures = Rc::new(Figures::default());
+        figures.know(&["look".into(), "a \"b\"\n\\".into()]);
+        figures.ended("look", Ending::Answered);
+        figures.know(&["pay".into()]);
+        figures.ended("nobody's", Ending::Errored);
+        let held = figures.open();
+        let text = figures.text();
+        let lines: Vec<&str> = text.lines().collect();
+        assert!(lines.contains(&"router_answered{group=\"look\"} 1"), "{text}");
+        assert!(lines.contains(&"router_errored{group=\"pay\"} 0"));
+        assert!(lines.contains(&"router_deferred{group=\"a \\\"b\\\"\\n\\\\\"} 0"));
+        assert!(lines.contains(&"router_current 1") && !text.contains("nobody"));
+        assert_eq!(lines.len(), 3 * 3 + 6, "a line each");
+        drop(held);
+        assert!(figures.text().contains("router_current 0\n"));
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod daemon;
 pub mod discovery;
 pub mod exchange;
+pub mod figures;
 pub mod limits;
 pub mod listeners;
 pub mod names;
--- a/crates/gateway/src/listeners/http.rs
+++ b/crates/gateway/src/listeners/http.rs
@@ -1,7 +1,9 @@
 //! The HTTP server side: takes requests in, has them decided, writes the answers.
 
 use crate::core::messages::{Arrival, Final, Handle, Message};
+use crate::daemon::service::Service;
 use crate::exchange::Forward;
+use crate::figures::{Ending, Figures, Open};
 use crate::limits::{MAX_BODY, MAX_BUFFER};
 use crate::names::Names;
 use crate::sockets::{Budget, Slot, Slots};
@@ -55,10 +57,8 @@
 const ROOM_AGAIN: Duration = Duration::from_secs(1);
 /// The pulse of the event loop: what waits to be read while no pulse comes has waited for as long.
 const PULSE: Duration = Duration::from_millis(10);
-/// After SIGTERM new connections come for 0.4 s at most, and what comes later than 0.7 s need not be answered: the
-/// listener closes between these two times, as soon as no connection has come for `QUIET`.
-const LISTEN_ON: (Duration, Duration) = (Duration::from_millis(450), Duration::from_millis(650));
-const QUIET: Duration = Duration::from_millis(200);
+/// The same while connections are to leave.
+const SWEEP_OUT: Duration = Duration::from_millis(25);
 
 /// What goes on to hosts: the headers that the protocol names. Nothing else that a client says is theirs to read.
 const PASSED_ON: [HeaderName; 9] = [
@@ -145,10 +145,9 @@
     resting: Cell<usize>,
     may_rest: usize,
     left: Notify,
-    accepted: Cell<Instant>,
+    service: Rc<Service>,
     pulse: Cell<Instant>,
     stalled: Cell<Duration>,
-    stopping: Cell<bool>,
 }
 
 /// A request that has been told to the gateway: if the client goes, so does this, and the gateway hears of it.
@@ -167,9 +166,46 @@
     }
 }
 
+/// A request that counts as taken until this goes. Each ends under one count, or its client has left.
+struct Taken<'a> {
+    figures: &'a Figures,
+    class: &'a str,
+    _open: Open,
+}
+
+impl<'a> Taken<'a> {
+    fn new(figures: &'a Rc<Figures>, class: &'a str) -> Taken<'a> {
+        Taken { figures, class, _open: figures.open() }
+    }
+
+    fn ended(&self, answer: Final) -> Final {
+        let how = match answer {
+            Final::Served(_) => Ending::Answered,
+            Final::Refused { .. } => Ending::Deferred,
+            Final::Failed(_) => Ending::Errored,
+        };
+        self.figures.ended(self.class, how);
+        answer
+    }
+}
+
+impl Drop for Taken<'_> {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.figures.ended(self.class, Ending::Errored); // what the client is told then
+        }
+    }
+}
+
 impl Server {
     /// A server that takes requests in for the gateway.
-    pub fn new(gateway: Handle, names: Rc<Names>, settings: &Settings, budget: &Budget) -> Server {
+    pub fn new(
+        gateway: Handle,
+        names: Rc<Names>,
+        settings: &Settings,
+        budget: &Budget,
+        service: Rc<Service>,
+    ) -> Server {
         Server {
             gateway,
             names,
@@ -181,10 +217,9 @@
             resting: Cell::new(0),
             may_rest: budget.resting,
             left: Notify::new(),
-            accepted: Cell::new(Instant::now()),
+            service,
             pulse: Cell::new(Instant::now()),
             stalled: Cell::default(),
-            stopping: Cell::new(false),
         }
     }
 
@@ -232,7 +267,7 @@
     }
 
     fn welcome(self: &Rc<Self>, stream: TcpStream, slot: Slot) {
-        self.accepted.set(Instant::now());
+        self.service.accepted();
         self.gateway.connected();
         let _ = stream.set_nodelay(true);
         let (wire, marks) = Wire::new(stream);
@@ -311,7 +346,8 @@
                 .await;
                 // A client that stays would have to be cut off at the end, or keep the next one out. Where
                 // more have come than have places, this frees one without a close that crosses a request.
-                if server.stopping.get() || !room || server.crowded() || server.keeps_too_many(&peer) {
+                if server.service.says_goodbye() || !room || server.crowded() || server.keeps_too_many(&peer)
+                {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
                 let now = Some(Instant::now());
@@ -344,7 +380,9 @@
     /// idle for long, or for a while where few places are left.
     pub async fn sweep(&self) {
         loop {
-            tokio::time::sleep(SWEEP).await;
+            let rest = self.service.may_rest();
+            tokio::time::sleep(if rest.is_some() { SWEEP_OUT } else { SWEEP }).await;
+            self.send_away();
             let peers = self.peers.borrow();
             let for_long = |since: Option<Instant>, most| since.is_some_and(|since| since.elapsed() >= most);
             let idle = peers.iter().filter(|p| p.idle_since.get().is_some() && !p.closing.get());
@@ -364,6 +402,20 @@
         }
     }
 
+    /// Closes what rests for longer than a gateway that leaves service lets it.
+    fn send_away(&self) {
+        let Some(rest) = self.service.may_rest() else { return };
+        let peers = self.peers.borrow();
+        for peer in peers.iter().filter(|p| !p.closing.get()) {
+            // A connection that has brought nothing yet awaits its first head from the start.
+            let resting = peer.marks.read_since.get().is_none() || peer.marks.last_read.get().is_none();
+            if resting && peer.idle_since.get().is_some_and(|since| since.elapsed() >= rest) {
+                peer.closing.set(true);
+                peer.close.notify_one();
+            }
+        }
+    }
+
     /// Notes, for as long as it runs, when the event loop last came round and how late it was.
     pub async fn feel_pulse(&self) {
         loop {
@@ -379,27 +431,9 @@
         self.pulse.get().elapsed().saturating_sub(2 * PULSE).max(self.stalled.get())
     }
 
-    /// Says goodbye with each answer from now on; done once no new connections are to be expected.
-    pub async fn stop(&self) {
-        self.stopping.set(true);
-        let start = Instant::now();
-        let (least, most) = (start + LISTEN_ON.0, start + LISTEN_ON.1);
-        loop {
-            let until = (self.accepted.get() + QUIET).clamp(least, most);
-            if Instant::now() >= until {
-                return;
-            }
-            tokio::time::sleep_until(until).await;
-        }
-    }
-
-    /// Closes each connection as soon as it owes no answer, and waits for the last one.
+    /// Waits for the end of the last connection. What rests is closed as the drain says.
     pub async fn finish(&self) {
-        loop {
-            self.peers.borrow().iter().for_each(|p| p.close.notify_one());
-            if self.peers.borrow().is_empty() {
-                return;
-            }
+        while !self.peers.borrow().is_empty() {
             self.left.notified().await;
         }
     }
@@ -408,12 +442,17 @@
         // One that came behind another has waited here for that to be answered, and its client with it.
         let came = marks.last_read.get().unwrap_or_else(Instant::now) - self.waited();
         if request.uri().path() == "/health/ready" {
-            let ready = self.gateway.hosts_up() && !self.stopping.get();
-            return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
+            return plain(
+                if self.service.ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE },
+                "",
+            );
         }
         if !room {
             // Held requests have all other places. This one has gone nowhere, and waiting here would keep those
             // out that come after it and are taken already, so it is refused before its body is read.
+            if let Some(class) = text(request.headers(), "x-priority-class") {
+                self.service.figures.ended(class, Ending::Deferred);
+            }
             return self.respond(Final::Refused { keep_away: self.keep_away });
         }
         match self.take(request, came, marks).await {
@@ -488,6 +527,7 @@
         }
         let patience = text(headers, "x-timeout").and_then(patience).ok_or(Malformed::BadTimeout)?;
         let give_up = came + patience.min(class.deadline).saturating_sub(AHEAD);
+        let give_up = self.service.answers_by().map_or(give_up, |by| give_up.min(by));
         if method == Method::GET && length > 0 {
             return Err(Malformed::NeedlessBody);
         }
@@ -511,8 +551,9 @@
         let by = give_up.min(Instant::now() + BODY);
         let body = timeout_at(by, whole(body)).await.unwrap_or(Err(Malformed::NoBody))?;
         marks.read_since.set(None); // what comes from here on is the next head
+        let taken = Taken::new(&self.service.figures, name);
         if Instant::now() >= give_up {
-            return Ok(Final::Failed(StatusCode::GATEWAY_TIMEOUT)); // too late to begin
+            return Ok(taken.ended(Final::Failed(StatusCode::GATEWAY_TIMEOUT))); // too late to begin
         }
         let passed_on = |(name, value): (&HeaderName, &HeaderValue)| {
             PASSED_ON.contains(name).then(|| (name.clone(), value.clone()))
@@ -524,7 +565,7 @@
         self.gateway.tell(Message::Arrived(Box::new(Arrival { request, number, forward, answer, open })));
         let decided = decided.await;
         owed.open.set(false);
-        Ok(decided.unwrap_or(Final::Failed(StatusCode::BAD_GATEWAY)))
+        Ok(taken.ended(decided.unwrap_or(Final::Failed(StatusCode::BAD_GATEWAY))))
     }
 }
 
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -46,9 +46,10 @@
 }
 
 fn run(settings: Option<&Path>) -> Result<(), Box<dyn Error>> {
+    let handed = daemon::inherited::listener()?; // ahead of whatever this process opens
     let operator = settings.map_or_else(|| Ok(Operator::default()), Operator::read)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, daemon::serve(operator))
+    LocalSet::new().block_on(&runtime, daemon::serve(operator, handed))
 }
 
 fn main() -> ExitCode {
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -11,6 +11,9 @@
 /// Descriptors of the program itself: standard streams, poller, wakers, signals, listener, discovery.
 const OWN: usize = 20;
 
+/// The descriptors of the second address, where there is one: a part of all, within these bounds.
+const MANAGEMENT: (usize, usize, usize) = (24, 4, 20);
+
 /// The fewest descriptors for clients that are only told that there is no room.
 const OVERFLOW: usize = 4;
 
@@ -70,12 +73,18 @@
     pub resting: usize,
     /// Connections to hosts.
     pub hosts: Slots,
+    /// Calls at the second address.
+    pub management: Slots,
 }
 
 impl Budget {
     /// Shares out what the limits allow: of the memory, clients together may fill three quarters.
-    pub fn new(limits: &Limits) -> Budget {
-        let rest = limits.sockets.saturating_sub(OWN);
+    /// With `managed` a few are kept for the second address.
+    pub fn new(limits: &Limits, managed: bool) -> Budget {
+        let (part, least, most) = MANAGEMENT;
+        let management = if managed { (limits.sockets / part).clamp(least, most) } else { 0 };
+        // The second address listens, and the newest caller is a descriptor over for a moment.
+        let rest = limits.sockets.saturating_sub(OWN + management + 2 * usize::from(managed));
         let fit = (limits.memory_mb << 20) / 4 * 3 / CLIENT_MEMORY;
         let overflow = (rest / 16).max(OVERFLOW).min(fit / 5);
         let clients = (rest / 2).min(fit.saturating_sub(overflow));
@@ -86,6 +95,7 @@
             overflow: Slots::new(overflow),
             resting,
             hosts: Slots::new(hosts),
+            management: Slots::new(management),
         }
     }
 }
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to hosts: one attempt at a time on each, every attempt counted, every end told apart.
 
 use crate::exchange::{Answer, Forward};
+use crate::figures::Figures;
 use crate::limits::{MAX_BODY, MAX_BUFFER};
 use crate::sockets::{Slot, Slots};
 use crate::wire::{Marks, Wire};
@@ -153,14 +154,21 @@
     slots: Slots,
     dial_timeout: Duration,
     idle_most: Duration,
+    figures: Rc<Figures>,
 }
 
 impl Pool {
     /// An empty pool that opens at most `slots`. The hosts close what has been idle for `keepalive`.
-    pub fn new(slots: Slots, dial_timeout: Duration, keepalive: Duration, reports: ReportFields) -> Pool {
+    pub fn new(
+        slots: Slots,
+        dial_timeout: Duration,
+        keepalive: Duration,
+        reports: ReportFields,
+        figures: Rc<Figures>,
+    ) -> Pool {
         // A request that crosses the host's close is lost to a reset: never come near that moment.
         let (idle, found) = Default::default();
-        Pool { idle, found, reports, slots, dial_timeout, idle_most: keepalive / 2 }
+        Pool { idle, found, reports, slots, dial_timeout, idle_most: keepalive / 2, figures }
     }
 
     /// Closes the idle connections to a host.
@@ -297,6 +305,7 @@
         let inform = informed.clone();
         on_informational(&mut request, move |_| inform.store(true, Ordering::Relaxed));
         connection.marks.written.set(false);
+        connection.marks.flushed.set(false);
         connection.marks.read_since.set(None);
         sent.set(true);
         let sending = connection.sender.send_request(request);
@@ -309,12 +318,16 @@
         };
         let late = sleep_until(*until);
         tokio::pin!(answering, late);
-        let mut over = false;
+        let (mut over, mut counted) = (false, false);
         let answered = poll_fn(|cx| {
             if let Poll::Ready(answered) = answering.as_mut().poll(cx) {
                 return Poll::Ready(Some(answered));
             }
             over = over || connection.driver.as_mut().poll(cx).is_ready();
+            if !counted && connection.marks.flushed.get() {
+                counted = true;
+                self.figures.sent();
+            }
             if let Poll::Ready(answered) = answering.as_mut().poll(cx) {
                 return Poll::Ready(Some(answered));
             }
@@ -412,7 +425,8 @@
         let settings = r#"{"stats":{"how":"inline","fields":["throughput","outstanding"]}}"#;
         let fields = ReportFields::parse(settings).expect("settings");
         let (dial, keep) = (Duration::from_secs(5), Duration::from_secs(10));
-        let pool = Pool::new(Budget::new(&Default::default()).hosts, dial, keep, fields);
+        let pool =
+            Pool::new(Budget::new(&Default::default(), false).hosts, dial, keep, fields, Rc::default());
         let (method, uri) = (hyper::Method::GET, hyper::Uri::from_static("/look"));
         let forward = Forward { method, uri, headers: HeaderMap::new(), body: Bytes::new() };
         let attempt = Attempt {
@@ -453,7 +467,13 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = Cell::new(Some(listener.local_addr().expect("an address")));
         let (dial, keep) = (Duration::from_secs(5), Duration::from_secs(60));
-        let pool = Pool::new(Budget::new(&Default::default()).hosts, dial, keep, ReportFields::default());
+        let pool = Pool::new(
+            Budget::new(&Default::default(), false).hosts,
+            dial,
+            keep,
+            ReportFields::default(),
+            Rc::default(),
+        );
         let (method, uri) = (hyper::Method::GET, hyper::Uri::from_static("/look"));
         let forward = Forward { method, uri, headers: HeaderMap::new(), body: Bytes::new() };
         let attempt = Attempt {
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -20,6 +20,8 @@
     pub last_read: Cell<Option<Instant>>,
     /// Whether anything was written.
     pub written: Cell<bool>,
+    /// Whether all that was written since then has gone to the kernel.
+    pub flushed: Cell<bool>,
     /// Whether nothing may come now: anything that does is an error.
     pub idle: Cell<bool>,
 }
@@ -83,7 +85,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
+        if matches!(flushed, Poll::Ready(Ok(()))) && self.marks.written.get() {
+            self.marks.flushed.set(true);
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/balancer/pick.rs
+++ b/src/balancer/pick.rs
@@ -10,7 +10,24 @@
 const SPILL: f64 = 0.85; // part of both that goes as requests end unserved: what is in trouble spills over
 const CROWDED: f64 = 3.0; // a key leaves its own hosts when their score is this many times the best
 
+/// Past this many times the mean of its kind, or of all, a host gets next to nothing: others would have to hold as many more.
+const AVOIDED: f64 = 4.0;
+
 impl Balancer {
+    /// How many listed hosts get next to nothing now: those that drain, and those whose score is out of all proportion.
+    pub fn avoided(&self, now: std::time::Duration) -> usize {
+        let now = now.as_secs_f64();
+        let shunned = |h: &&super::Host| match h.entry.state {
+            api::HostState::Removed => false,
+            api::HostState::Draining => true,
+            api::HostState::Up => {
+                let e = h.out.first().map_or(h.e, |sent| h.e.max(now - sent));
+                e > AVOIDED * self.prior(h).min(self.mean / h.size)
+            }
+        };
+        self.hosts.iter().filter(shunned).count()
+    }
+
     /// The gate of every send to a host.
     pub(super) fn may_send(&self, now: f64, req: &Request, host: usize) -> bool {
         let h = &self.hosts[host];
