Take new settings at SIGHUP whole or not at all, with classes that come and go

The log shows SIGHUP taken and only discovery changed (daemon/mod.rs, reload), so requests of a new class were answered 400 and those of a changed one by its old rules.

The file is compared with the one in force key by key and its figures are checked (config/change.rs); all that is wrong is told. A class is a value that a request holds to its end; its number passes on once nobody holds it (control/classes.rs). The module is retuned in place and keeps what it knows of hosts.

--- /dev/null
+++ b/crates/control/tests/classes.rs
@@ -0,0 +1,62 @@
+//! Classes come and go while requests hold on to theirs.
+
+use ottervane::{Class, Effect};
+use ottervane_control::classes::{Classes, Kept};
+use proptest::prelude::*;
+use std::rc::Rc;
+use std::time::Duration;
+
+fn class(aim: u64, effect: Effect) -> Class {
+    Class { effect, ..Class::new(Duration::from_millis(aim), Duration::from_secs(1)) }
+}
+
+fn named(classes: &Classes, name: &str) -> Option<Rc<Kept>> {
+    classes.live().find(|kept| kept.name == name).cloned()
+}
+
+#[test]
+fn a_class_with_another_effect_is_another_class() {
+    let mut classes = Classes::default();
+    classes
+        .take([("pay".to_owned(), class(300, Effect::Safe)), ("look".to_owned(), class(100, Effect::Safe))]);
+    let (pay, look) = (named(&classes, "pay").expect("pay"), named(&classes, "look").expect("look").number);
+    classes.take([
+        ("look".to_owned(), class(100, Effect::Safe)),
+        ("pay".to_owned(), class(300, Effect::Unsafe)),
+    ]);
+    let new = named(&classes, "pay").expect("pay");
+    assert_ne!(new.number, pay.number, "the old one is held");
+    assert_eq!((pay.class.effect, new.class.effect), (Effect::Safe, Effect::Unsafe));
+    assert_eq!(named(&classes, "look").expect("look").number, look, "what is as before stays what it is");
+    let rules = classes.by_number();
+    assert!(rules[pay.number].dropped && rules[pay.number].effect == Effect::Safe, "held to its end");
+    assert!(!rules[new.number].dropped);
+}
+
+proptest! {
+    /// Whatever the settings do, a number is one class's for as long as somebody holds it, and numbers do not run out.
+    #[test]
+    fn numbers_are_given_anew_only_once_nobody_holds_them(
+        files in prop::collection::vec(prop::collection::btree_map("[a-d]", 1u64..4, 1..4), 1..40),
+        hold in prop::collection::vec(0usize..5, 40),
+    ) {
+        let mut classes = Classes::default();
+        let mut held: Vec<Rc<Kept>> = Vec::new();
+        for (file, hold) in files.iter().zip(&hold) {
+            classes.take(file.iter().map(|(name, aim)| (name.clone(), class(*aim, Effect::Safe))));
+            prop_assert_eq!(classes.live().count(), file.len());
+            for (name, aim) in file {
+                let kept = named(&classes, name).expect("every class of the file");
+                prop_assert_eq!(kept.class.aim, Duration::from_millis(*aim));
+            }
+            let rules = classes.by_number();
+            for kept in &held {
+                prop_assert_eq!(&rules[kept.number].aim, &kept.class.aim, "{:?} has lost its number", kept);
+            }
+            held.extend(classes.live().take(*hold).cloned());
+            let over = held.len().saturating_sub(6);
+            held.drain(..over);
+            prop_assert!(rules.len() <= 4 + 6 + 4, "{} numbers", rules.len());
+        }
+    }
+}
--- a/crates/gateway/src/config/mod.rs
+++ b/crates/gateway/src/config/mod.rs
@@ -1,4 +1,5 @@
 //! What the gateway is told: by the platform, and by its operators.
 
+mod change;
 pub mod operator;
 pub mod platform;
--- a/crates/gateway/src/config/platform.rs
+++ b/crates/gateway/src/config/platform.rs
@@ -1,13 +1,15 @@
 //! What the gateway is told at its start: the file that `ROUTER_CONFIG` names, and the variables beside it.
 
+use crate::config::change;
 use crate::discovery::list::List;
 use crate::limits::Limits;
 use crate::names::Names;
 use ottervane::report::ReportFields;
 use ottervane::wire::parse_settings;
-use ottervane::{stable_hash, Settings};
+use ottervane::{stable_hash, Class, Settings};
 use serde::Deserialize;
 use serde_json::value::RawValue;
+use serde_json::Value;
 use std::env;
 use std::fs;
 use std::net::SocketAddr;
@@ -52,6 +54,14 @@
     /// Settings with which no request can be served.
     #[error("{0}")]
     Unusable(String),
+    /// A file that can be read and does not hold; all that is wrong is told.
+    #[error("{path}: {}", faults.join("; "))]
+    Wrong {
+        /// The file.
+        path: String,
+        /// What is wrong.
+        faults: Vec<String>,
+    },
 }
 
 #[derive(Deserialize)]
@@ -127,18 +137,29 @@
     pub settings: Settings,
     /// How hosts word their load reports.
     pub reports: ReportFields,
-    /// The names behind the settings' numbers.
+    /// The names of the settings' classes, by number.
+    pub classes: Vec<String>,
+    /// The names behind the settings' other numbers.
     pub names: Names,
+    /// The file as it stands, to compare the next one with.
+    pub document: Value,
     /// A connection to a host that is not up by then will not come up.
     pub dial_timeout: Duration,
     /// Hosts close a connection that has been idle for so long.
     pub keepalive: Duration,
 }
 
+impl Config {
+    /// The classes with their names.
+    pub fn named_classes(&self) -> impl Iterator<Item = (String, Class)> + '_ {
+        self.classes.iter().cloned().zip(self.settings.classes.iter().cloned())
+    }
+}
+
 impl Config {
     /// Reads the configuration at the start: the variables win over the file.
     pub fn at_start() -> Result<Config, ConfigError> {
-        Config::read(|key, from_file| {
+        Config::read(None, |key, from_file| {
             let variable = match key {
                 "listen" => "ROUTER_LISTEN",
                 "management" => "ROUTER_MANAGEMENT",
@@ -149,8 +170,11 @@
     }
 
     /// Reads the file once more. The variables are as old as the process, so the file's new word holds.
-    pub fn again() -> Result<Config, ConfigError> {
-        Config::read(|key, from_file| (key, from_file))
+    ///
+    /// # Errors
+    /// What is wrong with it, or lacks that the running one has.
+    pub fn again(running: &Value) -> Result<Config, ConfigError> {
+        Config::read(Some(running), |key, from_file| (key, from_file))
     }
 
     /// Reads a file and starts nothing.
@@ -161,20 +185,24 @@
         let path = file.display().to_string();
         let text = fs::read_to_string(file)
             .map_err(|source| ConfigError::Unreadable { path: path.clone(), source })?;
-        Config::parse(&path, &text, |key, from_file| (key, from_file))
+        Config::parse(&path, &text, None, |key, from_file| (key, from_file))
     }
 
     /// Reads the file; `choose` gives the name and the text that hold for the address with a key.
-    fn read(choose: impl Fn(&'static str, Chosen) -> (&'static str, Chosen)) -> Result<Config, ConfigError> {
+    fn read(
+        running: Option<&Value>,
+        choose: impl Fn(&'static str, Chosen) -> (&'static str, Chosen),
+    ) -> Result<Config, ConfigError> {
         let path = env::var("ROUTER_CONFIG").map_err(|_| ConfigError::NotSet)?;
         let text = fs::read_to_string(&path)
             .map_err(|source| ConfigError::Unreadable { path: path.clone(), source })?;
-        Config::parse(&path, &text, choose)
+        Config::parse(&path, &text, running, choose)
     }
 
     fn parse(
         path: &str,
         text: &str,
+        running: Option<&Value>,
         choose: impl Fn(&'static str, Chosen) -> (&'static str, Chosen),
     ) -> Result<Config, ConfigError> {
         let address = |key, from_file| {
@@ -187,13 +215,21 @@
             address(key, Some(from_file))?.ok_or_else(nowhere)
         };
         let malformed = |source| ConfigError::Malformed { path: path.to_owned(), source };
+        let mut document: Value = serde_json::from_str(text).map_err(malformed)?;
+        let faults = change::faults(running, &document);
+        if !faults.is_empty() {
+            return Err(ConfigError::Wrong { path: path.to_owned(), faults });
+        }
+        if let Some(document) = document.as_object_mut() {
+            document.remove("known"); // as long as a list, and read once
+        }
+        for name in running.map(|running| change::left(running, &document)).unwrap_or_default() {
+            tracing::warn!("{path}: {name} differs; it holds from the next start on");
+        }
         let raw: RawConfig = serde_json::from_str(text).map_err(malformed)?;
         let settings = parse_settings(raw.settings.get()).map_err(malformed)?;
         let reports = ReportFields::parse(raw.settings.get()).map_err(malformed)?;
         let names: RawNames = serde_json::from_str(raw.settings.get()).map_err(malformed)?;
-        if names.classes.is_empty() {
-            return Err(ConfigError::Unusable(format!("{path}: the settings name no request class")));
-        }
         if raw.limits.sockets < LEAST_SOCKETS {
             let few = format!("{path}: {} descriptors, at least {LEAST_SOCKETS} needed", raw.limits.sockets);
             return Err(ConfigError::Unusable(few));
@@ -214,12 +250,9 @@
             reports,
             dial_timeout: seconds("dial_timeout_s", names.policy_limits.dial_timeout_s)?,
             keepalive: seconds("keepalive_s", names.policy_limits.keepalive_s)?,
-            names: Names {
-                classes: plain(names.classes),
-                tenants: plain(names.accounts),
-                zones: names.azs,
-                kinds: names.flavors,
-            },
+            classes: plain(names.classes),
+            document,
+            names: Names { tenants: plain(names.accounts), zones: names.azs, kinds: names.flavors },
         })
     }
 }
@@ -239,7 +272,7 @@
     fn the_shipped_example_is_as_it_should_be() {
         let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/platform.example.json");
         let config = Config::check(Path::new(file)).expect("the shipped example");
-        assert_eq!(config.names.classes, ["timetable", "room-status", "enrol-pay", "book-room"]);
+        assert_eq!(config.classes, ["timetable", "room-status", "enrol-pay", "book-room"]);
         assert_eq!(config.known.endpoints.len(), 2);
     }
 }
--- a/crates/gateway/src/core/messages.rs
+++ b/crates/gateway/src/core/messages.rs
@@ -2,9 +2,11 @@
 
 use crate::discovery::list::List;
 use crate::exchange::{Answer, Forward};
+use crate::names::Names;
 use hyper::header::HeaderValue;
 use hyper::StatusCode;
-use ottervane::{HostId, LoadReport, Outcome, RequestId};
+use ottervane::{HostId, LoadReport, Outcome, RequestId, Settings};
+use ottervane_control::classes::Kept;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -48,12 +50,24 @@
     pub number: HeaderValue,
     /// What goes on to a host.
     pub forward: Forward,
+    /// The class it came under; held to its end.
+    pub class: Rc<Kept>,
     /// Where the answer goes.
     pub answer: oneshot::Sender<Final>,
     /// Cleared as soon as no answer is wanted any more.
     pub open: Rc<Cell<bool>>,
 }
 
+/// What changes with a new file.
+pub struct Retune {
+    /// The settings, classes by the numbers that they are kept under.
+    pub settings: Settings,
+    /// The names behind the other numbers.
+    pub names: Names,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+}
+
 /// What the gateway hears.
 pub enum Message {
     /// A client's request.
@@ -95,8 +109,8 @@
         /// What it said.
         list: List,
     },
-    /// Discovery is to be asked at this address from now on.
-    Discovery(SocketAddr),
+    /// Other settings hold from now on.
+    Retune(Box<Retune>),
     /// A watch on the hosts has failed or ended.
     DiscoveryFailed {
         /// Which.
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -11,8 +11,9 @@
 use crate::upstream::{Attempt, End, Host, Pool};
 use hyper::header::HeaderValue;
 use hyper::StatusCode;
-use messages::{Arrival, Final, Handle, Message};
+use messages::{Arrival, Final, Handle, Message, Retune};
 use ottervane::{Action, Balancer, Event, HostId, HostState, Outcome, RequestId, Settings};
+use ottervane_control::classes::Kept;
 use ottervane_control::rewatch::{self, Rewatch};
 use ottervane_control::storm::{Answered, Arriving, Storm, StormSettings, Terms};
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -46,6 +47,7 @@
     attempts: Vec<(Rc<Host>, Rc<Notify>)>,
     out: u32,
     last: Outcome,
+    _class: Rc<Kept>,
 }
 
 impl Entry {
@@ -94,7 +96,7 @@
     balancer: Balancer,
     settings: Settings,
     seed: u64,
-    names: Rc<Names>,
+    names: Names,
     pool: Rc<Pool>,
     discovery: SocketAddr,
     version: u64,
@@ -121,7 +123,7 @@
     pub fn new(
         settings: Settings,
         seed: u64,
-        names: Rc<Names>,
+        names: Names,
         pool: Rc<Pool>,
         discovery: SocketAddr,
     ) -> (Gateway, Handle) {
@@ -292,7 +294,7 @@
                 }
             }
             Message::Arrived(arrival) => {
-                let Arrival { mut request, number, forward, answer, open } = *arrival;
+                let Arrival { mut request, number, forward, class, answer, open } = *arrival;
                 if !self.numbers.insert(number.clone()) {
                     // A host could not tell it from a second copy of the request that has this number.
                     open.set(false);
@@ -308,10 +310,21 @@
                 debug!(request = request.id.0, class = request.class, repeat = request.repeat, "arrived");
                 self.timers.push(Reverse((give_up, Timer::Backstop(request.id))));
                 let id = request.id;
-                self.requests.insert(
-                    id,
-                    Entry { number, identity, forward, answer, open, arrived, give_up, attempts, out, last },
-                );
+                let _class = class;
+                let entry = Entry {
+                    number,
+                    identity,
+                    forward,
+                    answer,
+                    open,
+                    arrived,
+                    give_up,
+                    attempts,
+                    out,
+                    last,
+                    _class,
+                };
+                self.requests.insert(id, entry);
                 self.decide(Event::Request(request));
                 self.forget_if_done(id);
             }
@@ -362,7 +375,7 @@
             }
             Message::DiscoveryFailed { watch, why } if watch == self.watch => self.watch_failed(&why),
             Message::Hosts { .. } | Message::DiscoveryFailed { .. } => {}
-            Message::Discovery(address) => self.rediscover(address),
+            Message::Retune(retune) => self.retune(*retune),
         }
     }
 
@@ -409,6 +422,20 @@
         }
     }
 
+    /// Goes on under other settings.
+    fn retune(&mut self, retune: Retune) {
+        let Retune { mut settings, names, discovery } = retune;
+        // The numbers of zones and kinds that hosts are known by stay.
+        let zone = names.zones.get(settings.zone as usize).cloned();
+        self.names.go_on_as(names);
+        if let Some(zone) = zone.and_then(|zone| self.names.zones.iter().position(|z| *z == zone)) {
+            settings.zone = zone as u32;
+        }
+        self.settings = settings.clone();
+        self.balancer.retune(settings);
+        self.rediscover(discovery);
+    }
+
     /// Turns to another discovery. Its versions are its own, so the whole list is asked for.
     fn rediscover(&mut self, address: SocketAddr) {
         if address != self.discovery {
@@ -644,13 +671,16 @@
         let (method, uri) = Default::default();
         let forward = Forward { method, uri, headers: Default::default(), body: Default::default() };
         let number = HeaderValue::from(request.id.0);
-        (Box::new(Arrival { request, number, forward, answer, open: Rc::new(Cell::new(true)) }), answered)
+        let class = ottervane::Class::new(Duration::from_secs(10), Duration::from_secs(30));
+        let class = Rc::new(Kept { name: "look".into(), number: 0, class });
+        let open = Rc::new(Cell::new(true));
+        (Box::new(Arrival { request, number, forward, class, answer, open }), answered)
     }
 
     fn gateway() -> (Gateway, Handle) {
         let mut settings = Settings::default();
         settings.classes.push(ottervane::Class::new(Duration::from_secs(10), Duration::from_secs(30)));
-        let names = Names { classes: vec!["look".into()], tenants: vec![], zones: vec![], kinds: vec![] };
+        let names = Names { tenants: vec![], zones: vec![], kinds: vec![] };
         let budget = Budget::new(&Default::default(), false);
         let pool = Rc::new(Pool::new(
             budget.hosts,
@@ -660,7 +690,7 @@
             Rc::default(),
         ));
         let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
-        Gateway::new(settings, 1, Rc::new(names), pool, nobody)
+        Gateway::new(settings, 1, names, pool, nobody)
     }
 
     fn list(name: &str) -> List {
--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -6,15 +6,17 @@
 
 use crate::config::operator::Operator;
 use crate::config::platform::Config;
-use crate::core::messages::{Handle, Message};
+use crate::core::messages::{Handle, Message, Retune};
 use crate::core::Gateway;
 use crate::figures::Figures;
-use crate::listeners::http::Server;
+use crate::listeners::http::{Server, Terms};
 use crate::listeners::management;
 use crate::sockets::Budget;
 use crate::upstream::{Closed, Pool};
 use ottervane::Settings;
-use ottervane_control::drain::Terms;
+use ottervane_control::classes::Classes;
+use ottervane_control::drain;
+use serde_json::Value;
 use service::Service;
 use std::error::Error;
 use std::net::SocketAddr;
@@ -38,23 +40,56 @@
     socket.listen(BACKLOG)
 }
 
-/// Turns to the discovery that the file of the configuration names whenever SIGHUP comes. All else in that file holds
-/// from a start on.
-async fn reload(mut hang_up: Signal, gateway: Handle) {
-    while hang_up.recv().await.is_some() {
-        match Config::again() {
-            Ok(config) => {
-                info!(discovery = %config.discovery, "SIGHUP: the file is read again");
-                gateway.tell(Message::Discovery(config.discovery));
+/// What a new file is compared with and applied to.
+struct Reload {
+    running: Value,
+    classes: Classes,
+    gateway: Handle,
+    server: Rc<Server>,
+    service: Rc<Service>,
+}
+
+impl Reload {
+    /// Reads the file of the configuration whenever SIGHUP comes, and turns to it, whole or not at all.
+    async fn run(mut self, mut hang_up: Signal) {
+        while hang_up.recv().await.is_some() {
+            let config = Config::again(&self.running);
+            self.service.figures.reloaded(config.is_ok());
+            match config {
+                Ok(config) => self.apply(config),
+                Err(error) => {
+                    error!(%error, "SIGHUP: the file does not hold and nothing of it is applied, going on as before; mend it \
+                        and send SIGHUP again");
+                }
             }
-            Err(error) => error!(%error, "SIGHUP: the file does not hold, going on as before"),
         }
     }
+
+    fn apply(&mut self, config: Config) {
+        self.classes.take(config.named_classes());
+        let settings = Settings { classes: self.classes.by_number(), ..config.settings };
+        self.service.figures.know(&config.classes);
+        self.service.longest(longest(&settings));
+        let terms = Terms::new(&self.classes, config.names.tenants.clone(), &settings);
+        info!(discovery = %config.discovery, classes = config.classes.join(","), attempts = settings.max_attempts, "SIGHUP: the \
+            file is in force");
+        // The owner of the decisions hears of them ahead of the first request that comes under them.
+        let (names, discovery) = (config.names, config.discovery);
+        self.gateway.tell(Message::Retune(Box::new(Retune { settings, names, discovery })));
+        self.server.turn_to(terms);
+        self.running = config.document;
+    }
 }
 
 /// The longest time that a client waits for an answer.
 fn longest(settings: &Settings) -> Duration {
-    settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default()
+    settings
+        .classes
+        .iter()
+        .filter(|class| !class.dropped)
+        .map(|class| class.deadline)
+        .max()
+        .unwrap_or_default()
 }
 
 /// Waits until no more connections are to be accepted.
@@ -77,10 +112,13 @@
     let (mut terminate, hang_up) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
     operator.log.begin();
     let config = Config::at_start()?;
+    let mut classes = Classes::default();
+    classes.take(config.named_classes());
     let budget = Budget::new(&config.limits, config.management.is_some());
-    let (names, settings) = (Rc::new(config.names), config.settings.clone());
+    let settings = Settings { classes: classes.by_number(), ..config.settings };
+    let terms = Terms::new(&classes, config.names.tenants.clone(), &settings);
     let figures = Rc::new(Figures::default());
-    figures.know(&names.classes);
+    figures.know(&config.classes);
     let pool = Rc::new(Pool::new(
         budget.hosts.clone(),
         config.dial_timeout,
@@ -89,13 +127,13 @@
         figures.clone(),
     ));
     let (mut gateway, handle) =
-        Gateway::new(config.settings, config.seed, names.clone(), pool.clone(), config.discovery);
+        Gateway::new(settings.clone(), config.seed, config.names, pool.clone(), config.discovery);
     if let Some(settings) = operator.storm {
         gateway.control_storms(settings);
     }
     let shared = handed.is_some();
-    let terms = Terms { longest: longest(&settings), shared };
-    let service = Rc::new(Service::new(terms, handle.hosts_up(), figures.clone()));
+    let leaving = drain::Terms { longest: longest(&settings), shared };
+    let service = Rc::new(Service::new(leaving, handle.hosts_up(), figures.clone()));
     if let Some(address) = config.management {
         let listener = listen(address)?;
         info!(address = %listener.local_addr()?, "calls are answered");
@@ -107,12 +145,15 @@
         None => listen(config.listen)?,
     };
     gateway.learn(config.known);
-    let reloading = reload(hang_up, handle.clone());
     let told = handle.clone();
     let closed = move |Closed { host, address, idle, left }| {
         told.tell(Message::Closed { host, address, idle, left });
     };
-    let server = Rc::new(Server::new(handle.clone(), names, &settings, &budget, service.clone()));
+    let server = Rc::new(Server::new(handle.clone(), terms, &budget, service.clone()));
+    let (running, gateway_told) = (config.document, handle.clone());
+    let reload =
+        Reload { running, classes, gateway: gateway_told, server: server.clone(), service: service.clone() };
+    let reloading = reload.run(hang_up);
     info!(address = %listener.local_addr()?, "listening");
     // These live and die with the process: a panic in one of them ends it, for it would be half alive.
     let running = async {
--- a/crates/gateway/src/daemon/service.rs
+++ b/crates/gateway/src/daemon/service.rs
@@ -70,6 +70,11 @@
         self.changed.notify_one();
     }
 
+    /// Clients wait for so long at most from now on.
+    pub fn longest(&self, longest: Duration) {
+        self.drain.borrow_mut().longest(longest);
+    }
+
     /// Whether it is on its way out.
     pub fn stopping(&self) -> bool {
         self.drain.borrow().stopping()
--- a/crates/gateway/src/listeners/http.rs
+++ b/crates/gateway/src/listeners/http.rs
@@ -5,7 +5,6 @@
 use crate::exchange::Forward;
 use crate::figures::{Ending, Figures, Open};
 use crate::limits::{MAX_BODY, MAX_BUFFER};
-use crate::names::Names;
 use crate::sockets::{Budget, Slot, Slots};
 use crate::wire::{Marks, Wire};
 use bytes::Bytes;
@@ -16,7 +15,8 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use ottervane::{stable_hash, Class, Effect, RequestId, Settings};
+use ottervane::{stable_hash, Effect, RequestId, Settings};
+use ottervane_control::classes::{Classes, Kept};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
@@ -132,12 +132,25 @@
     marks: Rc<Marks>,
 }
 
+/// What requests may name, and what they are told, by the settings in force.
+pub struct Terms {
+    classes: Vec<Rc<Kept>>,
+    tenants: Vec<String>,
+    keep_away: Duration,
+}
+
+impl Terms {
+    /// The terms of these settings.
+    pub fn new(classes: &Classes, tenants: Vec<String>, settings: &Settings) -> Terms {
+        let keep_away = ROOM_AGAIN.min(settings.max_keep_away);
+        Terms { classes: classes.live().cloned().collect(), tenants, keep_away }
+    }
+}
+
 /// The server.
 pub struct Server {
     gateway: Handle,
-    names: Rc<Names>,
-    classes: Vec<Class>,
-    keep_away: Duration,
+    terms: RefCell<Rc<Terms>>,
     clients: Slots,
     overflow: Slots,
     peers: RefCell<Vec<Rc<Peer>>>,
@@ -199,18 +212,10 @@
 
 impl Server {
     /// A server that takes requests in for the gateway.
-    pub fn new(
-        gateway: Handle,
-        names: Rc<Names>,
-        settings: &Settings,
-        budget: &Budget,
-        service: Rc<Service>,
-    ) -> Server {
+    pub fn new(gateway: Handle, terms: Terms, budget: &Budget, service: Rc<Service>) -> Server {
         Server {
             gateway,
-            names,
-            classes: settings.classes.clone(),
-            keep_away: ROOM_AGAIN.min(settings.max_keep_away),
+            terms: RefCell::new(Rc::new(terms)),
             clients: budget.clients.clone(),
             overflow: budget.overflow.clone(),
             peers: RefCell::default(),
@@ -223,6 +228,11 @@
         }
     }
 
+    /// Turns to other terms; what has been taken in keeps the old ones.
+    pub fn turn_to(&self, terms: Terms) {
+        self.terms.replace(Rc::new(terms));
+    }
+
     /// Accepts connections for as long as it runs. What waits in the kernel is taken already, so it never waits
     /// for anything but a connection or, with every last descriptor in use, the end of one. Idle connections are
     /// closed once there is somebody who needs their place, and not before: a close may cross a request.
@@ -453,7 +463,7 @@
             if let Some(class) = text(request.headers(), "x-priority-class") {
                 self.service.figures.ended(class, Ending::Deferred);
             }
-            return self.respond(Final::Refused { keep_away: self.keep_away });
+            return self.respond(Final::Refused { keep_away: self.terms.borrow().keep_away });
         }
         match self.take(request, came, marks).await {
             Ok(answer) => self.respond(answer),
@@ -508,8 +518,9 @@
             return Err(Malformed::TooLong); // before any of it is read
         }
         let name = text(headers, "x-priority-class").ok_or(Malformed::UnknownClass)?;
-        let place = self.names.classes.iter().position(|c| c == name).ok_or(Malformed::UnknownClass)?;
-        let class = self.classes.get(place).ok_or(Malformed::UnknownClass)?;
+        let terms = self.terms.borrow().clone();
+        let kept = terms.classes.iter().find(|c| c.name == name).ok_or(Malformed::UnknownClass)?.clone();
+        let class = &kept.class;
         if head.uri.path().split('/').nth(1) != Some(name) {
             return Err(Malformed::WrongPath);
         }
@@ -536,11 +547,11 @@
             None => None,
         };
         let tenant = text(headers, "x-tenant-id");
-        let tenant = self.names.tenants.iter().position(|t| Some(t.as_str()) == tenant).unwrap_or(0);
+        let tenant = terms.tenants.iter().position(|t| Some(t.as_str()) == tenant).unwrap_or(0);
         let (id, open) = (self.gateway.next_request(), Rc::new(Cell::new(true)));
         let request = ottervane::Request {
             id,
-            class: place,
+            class: kept.number,
             tenant,
             key: subject(headers).map(stable_hash),
             cost_hint: cost,
@@ -562,7 +573,14 @@
         let forward = Forward { method: head.method, uri: head.uri, headers, body };
         let (answer, decided) = oneshot::channel();
         let owed = Owed { gateway: self.gateway.clone(), id, open: open.clone() };
-        self.gateway.tell(Message::Arrived(Box::new(Arrival { request, number, forward, answer, open })));
+        self.gateway.tell(Message::Arrived(Box::new(Arrival {
+            request,
+            number,
+            forward,
+            class: kept.clone(),
+            answer,
+            open,
+        })));
         let decided = decided.await;
         owed.open.set(false);
         Ok(taken.ended(decided.unwrap_or(Final::Failed(StatusCode::BAD_GATEWAY))))
--- a/src/api.rs
+++ b/src/api.rs
@@ -58,7 +58,7 @@
 }
 
 /// A request class.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// An answer within this time earns the full worth.
     pub aim: Duration,
@@ -74,13 +74,16 @@
     pub effect: Effect,
     /// Requests of one key run one at a time, in the order taken.
     pub sequential: bool,
+    /// It has left the settings: only requests that are open still have it.
+    pub dropped: bool,
 }
 
 impl Class {
     /// A class that is safe to repeat, worth 1 within `aim` and nothing later.
     pub fn new(aim: Duration, deadline: Duration) -> Self {
         let effect = Effect::Safe;
-        Class { aim, aim_stretch: 0.0, deadline, worth: 1.0, late_worth: 0.0, effect, sequential: false }
+        let (aim_stretch, worth, late_worth, sequential, dropped) = (0.0, 1.0, 0.0, false, false);
+        Class { aim, aim_stretch, deadline, worth, late_worth, effect, sequential, dropped }
     }
 }
 
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -43,6 +43,13 @@
 const ASK: u64 = 0; // the timer token of discovery upkeep
 const CLOSE: u64 = 1 << 62; // the timer token of closing on drains
 
+/// What follows from the settings alone: how little of a host's traffic is this gateway's own, the shortest and the longest aim.
+fn terms(settings: &Settings) -> (f64, (f64, f64)) {
+    let aims = settings.classes.iter().filter(|c| !c.dropped).map(|c| c.aim.as_secs_f64());
+    let aims = (aims.clone().fold(f64::INFINITY, f64::min), aims.fold(0.0, f64::max));
+    ((1.0 - 1.0 / f64::from(settings.gateways.max(1))).powi(4), aims)
+}
+
 type Out<'a> = &'a mut Vec<Action>;
 
 fn wake(after: f64, token: u64) -> Action {
@@ -98,6 +105,7 @@
     worth_by: f64, // after this nothing can be earned
     turn: f64, // when it may first be sent for its key's sake; without end while an earlier one has the turn
     open: bool,
+    limits: (u32, usize), // the most attempts, and the most that may be out when another is made: as it came
     attempts: Vec<Attempt>,
 }
 
@@ -194,10 +202,9 @@
 impl Balancer {
     /// A gateway's decisions, from its settings and a seed of its own.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let aims = settings.classes.iter().map(|c| c.aim.as_secs_f64());
-        let aims = (aims.clone().fold(f64::INFINITY, f64::min), aims.fold(0.0, f64::max));
+        let (many, aims) = terms(&settings);
         Balancer {
-            many: (1.0 - 1.0 / f64::from(settings.gateways.max(1))).powi(4),
+            many,
             aims,
             mean: FIRST_E * aims.0,
             traffic: Traffic { class_latency: vec![0.0; settings.classes.len()], ..Traffic::default() },
@@ -219,6 +226,20 @@
         }
     }
 
+    /// Goes on under other settings. What is known of hosts stays; what is open keeps its class and its limits, and a class
+    /// that has another's number now starts from nothing.
+    pub fn retune(&mut self, settings: Settings) {
+        (self.many, self.aims) = terms(&settings);
+        self.traffic.class_latency.resize(settings.classes.len(), 0.0);
+        let same = |(a, b): (&api::Class, &api::Class)| a == &api::Class { dropped: a.dropped, ..b.clone() };
+        let both = self.set.classes.iter().zip(&settings.classes);
+        for (n, _) in both.enumerate().filter(|(_, pair)| !same(*pair)) {
+            self.traffic.class_latency[n] = 0.0;
+            self.hosts.iter_mut().filter_map(|h| h.ill.get_mut(n)).for_each(|ill| *ill = Ill::default());
+        }
+        self.set = settings;
+    }
+
     /// Takes an event at `now` and appends what is to be done.
     pub fn handle(&mut self, now: Duration, event: Event<'_>, actions: &mut Vec<Action>) {
         let now = now.as_secs_f64();
@@ -411,8 +432,8 @@
     /// Whether any attempt may still be made, by limits and effect; where to is for [`Self::may_send`].
     fn may_go_on(&self, req: &Request) -> bool {
         let unsafe_ = matches!(self.set.classes[req.class].effect, Effect::Unsafe);
-        (req.attempts.len() as u32) < self.set.max_attempts
-            && req.out() <= usize::from(self.set.second_copies)
+        (req.attempts.len() as u32) < req.limits.0
+            && req.out() <= req.limits.1
             && !(unsafe_ && req.attempts.iter().any(|a| !a.never_ran))
     }
 
--- a/src/balancer/admission.rs
+++ b/src/balancer/admission.rs
@@ -73,8 +73,10 @@
             turns.queue.push_back(r.id.0);
         }
         let (class, key, attempts) = (r.class, r.key, Vec::new());
+        let limits = (self.set.max_attempts, usize::from(self.set.second_copies));
+        let open = true;
         self.requests
-            .insert(r.id.0, Request { class, key, work, hint, worth_by, turn, open: true, attempts });
+            .insert(r.id.0, Request { class, key, work, hint, worth_by, turn, open, limits, attempts });
         self.with(now, r.id, actions, |me, req, actions| me.advance(now, r.id, req, actions));
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -175,6 +175,7 @@
         worth: c.importance,
         late_worth: c.late_worth,
         sequential: c.sequential,
+        dropped: false,
         effect: match (c.effect.as_str(), c.group.as_str()) {
             ("free", _) => Effect::Safe,
             ("guarded", "all") => Effect::Keyed { group: Group::All, window: time(c.dedup_window_s) },
