--- a/crates/gateway/src/core/messages.rs
+++ b/crates/gateway/src/core/messages.rs
@@ -91,6 +91,28 @@
         /// What the host said of its load.
         load: Option<LoadReport>,
     },
+    /// The body of a request has begun to leave and is not held.
+    Spent(RequestId),
+    /// The last byte of such a body has gone.
+    Complete {
+        /// The request.
+        request: RequestId,
+        /// When its client gives up.
+        give_up: Instant,
+    },
+    /// An answer is passed on while it comes.
+    Started {
+        /// The request.
+        request: RequestId,
+        /// Which attempt, from 0.
+        attempt: u32,
+        /// From the send, or the last byte of the body, to the answer's first byte.
+        latency: Duration,
+        /// The answer.
+        answer: Answer,
+        /// What the host said of its load.
+        load: Option<LoadReport>,
+    },
     /// A host has ended an idle connection.
     Closed {
         /// Which host.
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -5,14 +5,14 @@
 
 use crate::discovery::list::{Endpoint, Fault, List, Status};
 use crate::discovery::watch::watch;
-use crate::exchange::Forward;
+use crate::exchange::{Forward, Payload};
 use crate::figures::Figures;
 use crate::names::Names;
-use crate::upstream::{Attempt, End, Host, Pool};
+use crate::upstream::{Attempt, End, Host, Pool, Stage, Until};
 use hyper::header::HeaderValue;
 use hyper::StatusCode;
 use messages::{Arrival, Final, Handle, Message, Retune};
-use ottervane::{Action, Balancer, Event, HostId, HostState, Outcome, RequestId, Settings};
+use ottervane::{Action, Balancer, Event, HostId, HostState, LoadReport, Outcome, RequestId, Settings};
 use ottervane_control::classes::Kept;
 use ottervane_control::rewatch::{self, Rewatch};
 use ottervane_control::storm::{Answered, Arriving, Storm, StormSettings, Terms};
@@ -44,7 +44,7 @@
     open: Rc<Cell<bool>>,
     arrived: Instant,
     give_up: Instant,
-    attempts: Vec<(Rc<Host>, Rc<Notify>)>,
+    attempts: Vec<(Rc<Host>, Rc<Notify>, Rc<Until>)>,
     out: u32,
     last: Outcome,
     _class: Rc<Kept>,
@@ -79,13 +79,34 @@
     gateway: Handle,
     request: RequestId,
     attempt: u32,
-    sent: Instant,
+    /// When it was sent, or the last byte of a body that came in pieces.
+    sent: Cell<Instant>,
+    patience: Duration,
     end: End,
 }
 
+impl Report {
+    /// Tells what becomes of the attempt on its way.
+    fn stage(&self, stage: Stage) {
+        let (request, attempt) = (self.request, self.attempt);
+        self.gateway.tell(match stage {
+            Stage::Spent => Message::Spent(request),
+            Stage::Complete => {
+                let now = Instant::now();
+                self.sent.set(now);
+                Message::Complete { request, give_up: now + self.patience }
+            }
+            Stage::Started { answer, first, load } => {
+                let latency = first.saturating_duration_since(self.sent.get());
+                Message::Started { request, attempt, latency, answer, load }
+            }
+        });
+    }
+}
+
 impl Drop for Report {
     fn drop(&mut self) {
-        let (request, attempt, sent) = (self.request, self.attempt, self.sent);
+        let (request, attempt, sent) = (self.request, self.attempt, self.sent.get());
         let (outcome, answer, load) = (self.end.outcome, self.end.answer.take(), self.end.load);
         self.gateway.tell(Message::Ended { request, attempt, sent, outcome, answer, load });
     }
@@ -340,18 +361,14 @@
                 entry.out -= 1;
                 entry.last = outcome;
                 // A number may have gone to another host meanwhile, which said nothing.
-                let host = entry.attempts.get(attempt as usize).map(|(host, _)| host.clone());
-                let host = host
-                    .filter(|h| self.hosts.get(h.id.0 as usize).is_some_and(|known| Rc::ptr_eq(known, h)));
-                if let Some((host, report)) = host.zip(load) {
-                    self.decide(Event::Load { host: host.id, report });
-                }
+                let host = entry.attempts.get(attempt as usize).map(|(host, ..)| host.clone());
+                self.book_load(host, load);
                 if let Some(answer) = answer {
                     self.answer(request, Final::Served(answer));
                 }
                 let Some(entry) = self.requests.get(&request) else { return };
                 let (latency, over) = (sent.elapsed(), entry.answer.is_none());
-                let to = entry.attempts.get(attempt as usize).and_then(|(h, _)| h.address.get());
+                let to = entry.attempts.get(attempt as usize).and_then(|(h, ..)| h.address.get());
                 debug!(
                     request = request.0, attempt, host = to.map(tracing::field::display),
                     ms = latency.as_millis() as u64, how = ?outcome, "ended"
@@ -359,6 +376,22 @@
                 self.decide(Event::Outcome { request, attempt, latency, outcome, over });
                 self.forget_if_done(request);
             }
+            Message::Spent(request) => self.decide(Event::Spent { request }),
+            Message::Complete { request, give_up } => {
+                let Some(entry) = self.requests.get_mut(&request) else { return };
+                entry.give_up = give_up;
+                self.timers.push(Reverse((give_up, Timer::Backstop(request))));
+                let give_up_at = self.handle.time(give_up);
+                self.decide(Event::Complete { request, give_up_at });
+            }
+            Message::Started { request, attempt, latency, answer, load } => {
+                let Some(entry) = self.requests.get(&request) else { return };
+                let host = entry.attempts.get(attempt as usize).map(|(host, ..)| host.clone());
+                self.book_load(host, load);
+                self.answer(request, Final::Served(answer));
+                debug!(request = request.0, attempt, ms = latency.as_millis() as u64, "started");
+                self.decide(Event::Started { request, attempt, latency });
+            }
             // A number may have gone to another host meanwhile, which ended nothing.
             Message::Closed { host, address, idle, left } => {
                 if self.hosts.get(host.0 as usize).is_some_and(|h| h.address.get() == Some(address)) {
@@ -379,6 +412,13 @@
         }
     }
 
+    fn book_load(&mut self, host: Option<Rc<Host>>, load: Option<LoadReport>) {
+        let known = |h: &Rc<Host>| self.hosts.get(h.id.0 as usize).is_some_and(|known| Rc::ptr_eq(known, h));
+        if let Some((host, report)) = host.filter(known).zip(load) {
+            self.decide(Event::Load { host: host.id, report });
+        }
+    }
+
     /// The watch has ended by itself. When to begin the next is for the module to decide or, where lists are pushed, for
     /// [`Rewatch`].
     fn watch_failed(&mut self, why: &str) {
@@ -572,7 +612,7 @@
         error!("the decision module has panicked: what is held fails, and it starts anew");
         for entry in self.requests.values_mut() {
             entry.finish(Final::Failed(StatusCode::BAD_GATEWAY));
-            entry.attempts.iter().for_each(|(_, cancel)| cancel.notify_one());
+            entry.attempts.iter().for_each(|(_, cancel, _)| cancel.notify_one());
         }
         self.requests.retain(|_, entry| entry.out > 0);
         self.numbers = self.requests.values().map(|entry| entry.number.clone()).collect();
@@ -589,9 +629,15 @@
     fn act(&mut self, action: Action) {
         match action {
             Action::Send { request, host, until } => self.send(request, host, until),
+            Action::Until { request, until } => {
+                let until = self.handle.instant(until);
+                if let Some(entry) = self.requests.get(&request) {
+                    entry.attempts.iter().for_each(|(.., at)| at.set(until.min(entry.give_up)));
+                }
+            }
             Action::Cancel { request, attempt } => {
                 let attempts = self.requests.get(&request).map(|e| &e.attempts);
-                if let Some((_, cancel)) = attempts.and_then(|a| a.get(attempt as usize)) {
+                if let Some((_, cancel, _)) = attempts.and_then(|a| a.get(attempt as usize)) {
                     cancel.notify_one();
                 }
             }
@@ -634,11 +680,15 @@
         let until = self.handle.instant(until);
         let Some(entry) = self.requests.get_mut(&id) else { return };
         let Some(host) = self.hosts.get(host.0 as usize) else { return };
-        let cancel = Rc::new(Notify::new());
+        let (cancel, until) = (Rc::new(Notify::new()), Until::new(until.min(entry.give_up)));
+        let patience = match &entry.forward.body {
+            Payload::Whole(_) => Duration::ZERO,
+            Payload::Coming(upload) => upload.patience,
+        };
         let attempt = Attempt {
             host: host.clone(),
             forward: entry.forward.clone(),
-            until: until.min(entry.give_up),
+            until: until.clone(),
             open: entry.open.clone(),
             cancel: cancel.clone(),
         };
@@ -647,13 +697,15 @@
         debug!(request = id.0, attempt = entry.attempts.len(), host = to, "sent");
         let number = entry.attempts.len() as u32;
         let end = End { outcome: Outcome::Reset, answer: None, load: None };
-        let report = Report { gateway, request: id, attempt: number, sent, end };
-        entry.attempts.push((host.clone(), cancel));
+        let sent = Cell::new(sent);
+        let report = Report { gateway, request: id, attempt: number, sent, patience, end };
+        entry.attempts.push((host.clone(), cancel, until));
         entry.out += 1;
         let pool = self.pool.clone();
         spawn_local(async move {
             let mut report = report; // the whole of it, for its drop is what reports
-            report.end = pool.attempt(&attempt).await;
+            let end = pool.attempt(&attempt, &|stage| report.stage(stage)).await;
+            report.end = end;
         });
     }
 }
--- a/crates/gateway/src/figures.rs
+++ b/crates/gateway/src/figures.rs
@@ -1,5 +1,6 @@
 //! The figures: what this process has done and how it stands, counted where it happens and read at the second address.
 
+use ottervane_control::classes::Kept;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
@@ -15,6 +16,41 @@
     }
 }
 
+/// A request that is to be counted, once, when it ends. One that goes without has lost its client, and counts as nothing.
+#[derive(Debug)]
+pub struct Taken {
+    figures: Rc<Figures>,
+    class: Rc<Kept>,
+    open: Option<Open>,
+}
+
+impl Taken {
+    /// A request of the class; it is not open yet.
+    pub fn new(figures: Rc<Figures>, class: Rc<Kept>) -> Taken {
+        Taken { figures, class, open: None }
+    }
+
+    /// Its last byte has come.
+    pub fn open(&mut self) {
+        if self.open.is_none() {
+            self.open = Some(self.figures.open());
+        }
+    }
+
+    /// It has ended.
+    pub fn ended(self, how: Ending) {
+        self.figures.ended(&self.class.name, how);
+    }
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.figures.ended(&self.class.name, Ending::Errored); // what the client is told then
+        }
+    }
+}
+
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
--- /dev/null
+++ b/crates/gateway/src/framing.rs
@@ -0,0 +1,230 @@
+//! Where each request on a connection begins and ends, told from its bytes alone.
+//!
+//! The HTTP library frames requests itself, but drops a `Content-Length` that comes behind a `Transfer-Encoding` and says nothing of
+//! it. Such a request may hide another: somebody who goes by the length reads something else. So each head is looked over
+//! as it comes for the two words. The scan keeps a few dozen bytes and skips over bodies.
+
+/// The two names that matter, and what begins each.
+const LENGTH: &[u8] = b"content-length";
+const ENCODING: &[u8] = b"transfer-encoding";
+/// The longest chunk size that is followed, in digits.
+const DIGITS: u32 = 15;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// In the request line, with something in it or not: empty lines ahead of one are passed over.
+    First(bool),
+    /// In a header's name, after so many bytes.
+    Name(usize),
+    /// In a header's value.
+    Value(Header),
+    /// In a body of which so much is to come.
+    Body(u64),
+    /// In a chunk's size: so far, its digits, and whether they are over.
+    Size(u64, u32, bool),
+    /// In a chunk of which so much is to come, its line's end included.
+    Chunk(u64),
+    /// In the trailer, after so many bytes of a line.
+    Trailer(usize),
+    /// It can't be followed from here on.
+    Lost,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Header {
+    Length,
+    Encoding,
+    Other,
+}
+
+/// The requests on one connection, in the order in which they come.
+#[derive(Debug)]
+pub struct Framing {
+    state: State,
+    name: [u8; ENCODING.len()],
+    length: Option<u64>,
+    encoded: bool,
+    /// Heads that were followed to their end.
+    heads: u64,
+    /// The one of them that says both.
+    ambiguous: Option<u64>,
+}
+
+impl Default for Framing {
+    fn default() -> Framing {
+        let (length, encoded, heads, ambiguous) = Default::default();
+        Framing { state: State::First(false), name: [0; ENCODING.len()], length, encoded, heads, ambiguous }
+    }
+}
+
+impl Framing {
+    /// Whether the head of the request with this number, counted from 1, was seen whole and says at most one of the two.
+    pub fn is_plain(&self, number: u64) -> bool {
+        self.heads >= number && self.ambiguous.is_none_or(|at| number < at)
+    }
+
+    /// Takes what has come.
+    pub fn take(&mut self, mut bytes: &[u8]) {
+        while let Some((&byte, rest)) = bytes.split_first() {
+            bytes = match self.state {
+                State::Lost => return,
+                State::Body(left) | State::Chunk(left) => {
+                    let skipped = left.min(bytes.len() as u64);
+                    let left = left - skipped;
+                    self.state = match self.state {
+                        State::Body(_) if left == 0 => State::First(false),
+                        State::Body(_) => State::Body(left),
+                        _ if left == 0 => State::Size(0, 0, false),
+                        _ => State::Chunk(left),
+                    };
+                    &bytes[skipped as usize..]
+                }
+                State::Value(Header::Other) | State::First(true) if byte != b'\n' => {
+                    let end = bytes.iter().position(|&b| b == b'\n').unwrap_or(bytes.len());
+                    &bytes[end..]
+                }
+                _ => {
+                    self.step(byte);
+                    rest
+                }
+            };
+        }
+    }
+
+    fn step(&mut self, byte: u8) {
+        self.state = match (self.state, byte) {
+            (State::First(false), b'\r' | b'\n') => State::First(false),
+            (State::First(_), b'\n') => {
+                (self.length, self.encoded) = (None, false);
+                State::Name(0)
+            }
+            (State::First(_), _) => State::First(true),
+            (State::Name(0), b'\r') => State::Name(0),
+            (State::Name(0), b'\n') => self.head_ends(),
+            (State::Name(_), b'\n') => State::Name(0),
+            (State::Name(n), b':') => State::Value(self.header(n)),
+            (State::Name(n), byte) => {
+                if let Some(place) = self.name.get_mut(n) {
+                    *place = byte.to_ascii_lowercase();
+                }
+                State::Name((n + 1).min(self.name.len() + 1))
+            }
+            (State::Value(_), b'\n') => State::Name(0),
+            (State::Value(Header::Length), byte) => {
+                if let Some(digit) = (byte as char).to_digit(10) {
+                    let length = self.length.unwrap_or(0);
+                    self.length = Some(length.saturating_mul(10).saturating_add(u64::from(digit)));
+                }
+                self.state
+            }
+            (State::Value(_), _) => self.state,
+            (State::Size(0, 1.., _), b'\n') => State::Trailer(0),
+            (State::Size(size, 1.., _), b'\n') => State::Chunk(size + 2),
+            (State::Size(size, digits, false), byte) => match (byte as char).to_digit(16) {
+                Some(digit) if digits < DIGITS => {
+                    State::Size(size * 16 + u64::from(digit), digits + 1, false)
+                }
+                None if digits > 0 && matches!(byte, b'\r' | b';' | b' ' | b'\t') => {
+                    State::Size(size, digits, true)
+                }
+                _ => State::Lost,
+            },
+            (State::Size(size, digits, true), _) => State::Size(size, digits, true),
+            (State::Trailer(0), b'\n') => State::First(false),
+            (State::Trailer(_), b'\n') => State::Trailer(0),
+            (State::Trailer(n), b'\r') => State::Trailer(n),
+            (State::Trailer(n), _) => State::Trailer((n + 1).min(2)),
+            (State::Body(_) | State::Chunk(_) | State::Lost, _) => State::Lost,
+        };
+    }
+
+    fn header(&mut self, length: usize) -> Header {
+        match self.name.get(..length) {
+            Some(LENGTH) => {
+                self.length.get_or_insert(0);
+                Header::Length
+            }
+            Some(ENCODING) => {
+                self.encoded = true;
+                Header::Encoding
+            }
+            _ => Header::Other,
+        }
+    }
+
+    fn head_ends(&mut self) -> State {
+        self.heads += 1;
+        match (self.encoded, self.length) {
+            (true, Some(_)) => {
+                self.ambiguous = Some(self.heads);
+                State::Lost
+            }
+            (true, None) => State::Size(0, 0, false),
+            (false, Some(length)) if length > 0 => State::Body(length),
+            (false, _) => State::First(false),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const PLAIN: &str = "POST /a HTTP/1.1\r\nContent-LENGTH: 4\r\nX-Note: content-length: 9\r\n\r\nbody";
+    const NONE: &str = "GET /a HTTP/1.1\r\nX-Content-Length: 7\r\n\r\n";
+    const CHUNKED: &str =
+        "\r\nPOST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4;x=y\r\nGET \r\n0a\r\n0123456789\r\n0\r\nContent-Length: 3\r\n\r\n";
+    const BOTH: [&str; 2] = [
+        "POST /a HTTP/1.1\r\ntransfer-encoding: chunked\r\ncontent-length: 4\r\n\r\n",
+        "POST /a HTTP/1.1\nContent-Length: 4\nTRANSFER-ENCODING: chunked\n\n",
+    ];
+
+    #[test]
+    fn a_head_that_says_both_is_told_and_nothing_behind_it_is_believed() {
+        for both in BOTH {
+            let mut framing = Framing::default();
+            framing.take([PLAIN, CHUNKED, NONE, both, PLAIN].concat().as_bytes());
+            let plain: Vec<bool> = (1..=6).map(|n| framing.is_plain(n)).collect();
+            assert_eq!(plain, [true, true, true, false, false, false], "{both:?}");
+        }
+    }
+
+    #[test]
+    fn what_hides_in_a_body_is_no_head() {
+        let mut framing = Framing::default();
+        framing
+            .take(b"POST /a HTTP/1.1\r\nContent-Length: 31\r\n\r\nGET /b HTTP/1.1\r\nHost: hidden\r\n\r\n");
+        assert_eq!(framing.heads, 1);
+        framing.take(b"GET /c HTTP/1.1\r\n");
+        assert!(!framing.is_plain(2), "not whole");
+        framing.take(b"\r\n");
+        assert!(framing.is_plain(2));
+    }
+
+    proptest! {
+        /// However a stream is cut, the same is seen; the model is the list of messages that it was made of.
+        #[test]
+        fn cuts_change_nothing(kinds in prop::collection::vec(0usize..5, 0..12), cuts in prop::collection::vec(1usize..40, 1..20)) {
+            let messages: Vec<&str> = kinds.iter().map(|kind| [PLAIN, NONE, CHUNKED, BOTH[0], BOTH[1]][*kind]).collect();
+            let whole = messages.concat();
+            let mut framing = Framing::default();
+            let (mut rest, mut cut) = (whole.as_bytes(), cuts.iter().cycle());
+            while !rest.is_empty() {
+                let (piece, behind) = rest.split_at((*cut.next().expect("endless")).min(rest.len()));
+                framing.take(piece);
+                rest = behind;
+            }
+            let spoilt = kinds.iter().position(|kind| *kind > 2).map_or(kinds.len(), |at| at);
+            for number in 1..=kinds.len() {
+                prop_assert_eq!(framing.is_plain(number as u64), number <= spoilt, "{}", number);
+            }
+        }
+
+        /// Nothing that comes makes it panic.
+        #[test]
+        fn noise_is_survived(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+            Framing::default().take(&bytes);
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod discovery;
 pub mod exchange;
 pub mod figures;
+mod framing;
 pub mod limits;
 pub mod listeners;
 pub mod names;
--- a/crates/gateway/src/listeners/http.rs
+++ b/crates/gateway/src/listeners/http.rs
@@ -2,18 +2,18 @@
 
 use crate::core::messages::{Arrival, Final, Handle, Message};
 use crate::daemon::service::Service;
-use crate::exchange::Forward;
-use crate::figures::{Ending, Figures, Open};
-use crate::limits::{MAX_BODY, MAX_BUFFER};
+use crate::exchange::{gather, Answer, Broken, Forward, Passage, Payload, Reply, Upload};
+use crate::figures::{Ending, Taken};
+use crate::framing::Framing;
+use crate::limits::{MAX_BODY, MAX_BUFFER, MAX_LARGE};
 use crate::sockets::{Budget, Slot, Slots};
 use crate::wire::{Marks, Wire};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use ottervane::{stable_hash, Effect, RequestId, Settings};
 use ottervane_control::classes::{Classes, Kept};
@@ -21,23 +21,26 @@
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use std::pin::pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, Notify};
 use tokio::task::spawn_local;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{timeout, Instant};
 use tracing::error;
 
 /// A client that keeps a connection idle for so long loses it.
 const IDLE: Duration = Duration::from_secs(75);
 /// A head is whole so long after its first byte; the first one, so long after the connection was accepted. Else a
-/// few clients that say nothing, or never come to an end, would keep all the others out.
-const HEAD: Duration = Duration::from_secs(2);
-/// A body is whole so long after its head.
-const BODY: Duration = Duration::from_secs(2);
+/// few clients that say nothing, or never come to an end, would keep all the others out. Slow clients are owed 2 s, and
+/// what is wrong with a client is due to it within 3.
+const HEAD: Duration = Duration::from_millis(2500);
+/// A body that is not held may come for so long: the longest one at the slowest rate.
+const UPLOAD: Duration = Duration::from_secs(1100);
+/// What a client still writes of a request that is over is read for so long, so that it comes to read the answer.
+const DISCARD: Duration = Duration::from_secs(2);
 /// This often it is looked for connections whose time is over.
 const SWEEP: Duration = Duration::from_millis(200);
 /// While few places are left, what has been idle for so long is closed.
@@ -73,8 +76,14 @@
     HeaderName::from_static("idempotency-key"),
 ];
 /// Headers that must not come twice: whoever reads the other one reads another request.
-const ONCE: [&str; 5] =
-    ["x-request-id", "x-priority-class", "idempotency-key", "x-timeout", "content-length"];
+const ONCE: [&str; 6] = [
+    "x-request-id",
+    "x-priority-class",
+    "idempotency-key",
+    "x-timeout",
+    "content-length",
+    "transfer-encoding",
+];
 
 /// What is wrong with a request, so that it goes no further.
 #[derive(Debug, thiserror::Error)]
@@ -83,8 +92,10 @@
     NoId,
     #[error("{0} comes more than once")]
     Repeated(&'static str),
-    #[error("a body needs a Content-Length, and no Transfer-Encoding")]
+    #[error("a body needs a Content-Length, or Transfer-Encoding: chunked")]
     NoLength,
+    #[error("Content-Length beside Transfer-Encoding: where the request ends is in doubt")]
+    Ambiguous,
     #[error("a request of this class has no body")]
     NeedlessBody,
     #[error("X-Priority-Class names no class")]
@@ -105,6 +116,15 @@
     NoBody,
 }
 
+impl From<Broken> for Malformed {
+    fn from(broken: Broken) -> Malformed {
+        match broken {
+            Broken::Off => Malformed::NoBody,
+            Broken::TooLong => Malformed::TooLong,
+        }
+    }
+}
+
 impl Malformed {
     fn status(&self) -> StatusCode {
         match self {
@@ -130,6 +150,7 @@
     close: Notify,
     cut: Notify,
     marks: Rc<Marks>,
+    framing: Rc<RefCell<Framing>>,
 }
 
 /// What requests may name, and what they are told, by the settings in force.
@@ -179,37 +200,6 @@
     }
 }
 
-/// A request that counts as taken until this goes. Each ends under one count, or its client has left.
-struct Taken<'a> {
-    figures: &'a Figures,
-    class: &'a str,
-    _open: Open,
-}
-
-impl<'a> Taken<'a> {
-    fn new(figures: &'a Rc<Figures>, class: &'a str) -> Taken<'a> {
-        Taken { figures, class, _open: figures.open() }
-    }
-
-    fn ended(&self, answer: Final) -> Final {
-        let how = match answer {
-            Final::Served(_) => Ending::Answered,
-            Final::Refused { .. } => Ending::Deferred,
-            Final::Failed(_) => Ending::Errored,
-        };
-        self.figures.ended(self.class, how);
-        answer
-    }
-}
-
-impl Drop for Taken<'_> {
-    fn drop(&mut self) {
-        if std::thread::panicking() {
-            self.figures.ended(self.class, Ending::Errored); // what the client is told then
-        }
-    }
-}
-
 impl Server {
     /// A server that takes requests in for the gateway.
     pub fn new(gateway: Handle, terms: Terms, budget: &Budget, service: Rc<Service>) -> Server {
@@ -281,11 +271,12 @@
         self.gateway.connected();
         let _ = stream.set_nodelay(true);
         let (wire, marks) = Wire::new(stream);
+        let (wire, framing) = wire.followed();
         let now = Some(Instant::now());
         marks.read_since.set(now); // the first head is awaited from now on
         let (slot, idle_since) = (RefCell::new(slot), Cell::new(now));
         let (asked, resting, closing, close, cut) = Default::default();
-        let peer = Rc::new(Peer { slot, idle_since, asked, resting, closing, close, cut, marks });
+        let peer = Rc::new(Peer { slot, idle_since, asked, resting, closing, close, cut, marks, framing });
         self.peers.borrow_mut().push(peer.clone());
         spawn_local(self.clone().serve(wire, peer));
     }
@@ -346,7 +337,7 @@
                 peer.asked.set(peer.asked.get() + 1);
                 server.note_rest(&peer, false);
                 let room = server.has_room(&peer);
-                let mut answering = pin!(server.answer(request, room, &peer.marks));
+                let mut answering = pin!(server.answer(request, room, &peer));
                 // A panic here fails this request and no other.
                 let mut response = poll_fn(|cx| {
                     let polling = AssertUnwindSafe(|| answering.as_mut().poll(cx));
@@ -360,12 +351,13 @@
                 {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
-                let now = Some(Instant::now());
-                peer.idle_since.set(now);
-                server.note_rest(&peer, !response.headers().contains_key(header::CONNECTION));
-                if peer.marks.read_since.get().is_some() {
-                    peer.marks.read_since.set(now); // the next head has begun already
-                }
+                let rests = !response.headers().contains_key(header::CONNECTION);
+                // What passes through keeps its connection in use until it is over.
+                let resting = Resting { server: server.clone(), peer: peer.clone(), rests };
+                let response = response.map(|reply| match reply {
+                    Reply::Whole(_) => Outgoing { reply, _resting: None },
+                    Reply::Coming { .. } => Outgoing { reply, _resting: Some(resting) },
+                });
                 Ok::<_, Infallible>(response)
             }
         });
@@ -448,9 +440,7 @@
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>, room: bool, marks: &Marks) -> Response<Full<Bytes>> {
-        // One that came behind another has waited here for that to be answered, and its client with it.
-        let came = marks.last_read.get().unwrap_or_else(Instant::now) - self.waited();
+    async fn answer(&self, request: Request<Incoming>, room: bool, peer: &Peer) -> Response<Reply> {
         if request.uri().path() == "/health/ready" {
             return plain(
                 if self.service.ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE },
@@ -465,8 +455,14 @@
             }
             return self.respond(Final::Refused { keep_away: self.terms.borrow().keep_away });
         }
-        match self.take(request, came, marks).await {
-            Ok(answer) => self.respond(answer),
+        match self.take(request, peer).await {
+            Ok(Answered { answer, close }) => {
+                let mut response = self.respond(answer);
+                if close {
+                    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+                }
+                response
+            }
             Err(malformed) => {
                 let mut response = plain(malformed.status(), &format!("{malformed}\n"));
                 // Where its end is in doubt, nothing that follows is read: it may be a request that hides in a body.
@@ -476,10 +472,10 @@
         }
     }
 
-    fn respond(&self, answer: Final) -> Response<Full<Bytes>> {
+    fn respond(&self, answer: Final) -> Response<Reply> {
         match answer {
             Final::Served(answer) => {
-                let mut response = Response::new(Full::new(answer.body));
+                let mut response = Response::new(answer.body);
                 *response.headers_mut() = answer.headers;
                 response
             }
@@ -496,25 +492,27 @@
     }
 
     /// Has a request decided. The answer comes from the gateway, whatever becomes of the hosts.
-    async fn take(
-        &self,
-        request: Request<Incoming>,
-        came: Instant,
-        marks: &Marks,
-    ) -> Result<Final, Malformed> {
+    async fn take(&self, request: Request<Incoming>, peer: &Peer) -> Result<Answered, Malformed> {
         let (head, body) = request.into_parts();
         let headers = &head.headers;
-        // Clients of the protocol say how long a body is. One that says it in two ways may hide a request in it, and
-        // hyper drops the length where it comes second.
-        if headers.contains_key(header::TRANSFER_ENCODING) {
-            return Err(Malformed::NoLength);
+        // The library frames what is chunked, but drops a length that comes behind: what the connection has seen of the head
+        // is asked. Any other encoding would have to be understood, and nobody's hosts do.
+        if let Some(encoding) = headers.get(header::TRANSFER_ENCODING) {
+            if !encoding.as_bytes().eq_ignore_ascii_case(b"chunked") {
+                return Err(Malformed::NoLength);
+            }
+            if headers.contains_key(header::CONTENT_LENGTH)
+                || !peer.framing.borrow().is_plain(peer.asked.get())
+            {
+                return Err(Malformed::Ambiguous);
+            }
         }
         if let Some(name) = ONCE.into_iter().find(|&name| headers.get_all(name).iter().nth(1).is_some()) {
             return Err(Malformed::Repeated(name));
         }
         let number = headers.get("x-request-id").filter(|id| !id.is_empty()).ok_or(Malformed::NoId)?.clone();
-        let length = body.size_hint().exact().ok_or(Malformed::NoLength)?;
-        if length > MAX_BODY as u64 {
+        let length = body.size_hint().exact();
+        if length.is_some_and(|length| length > MAX_LARGE) {
             return Err(Malformed::TooLong); // before any of it is read
         }
         let name = text(headers, "x-priority-class").ok_or(Malformed::UnknownClass)?;
@@ -537,9 +535,8 @@
             return Err(Malformed::WrongKey);
         }
         let patience = text(headers, "x-timeout").and_then(patience).ok_or(Malformed::BadTimeout)?;
-        let give_up = came + patience.min(class.deadline).saturating_sub(AHEAD);
-        let give_up = self.service.answers_by().map_or(give_up, |by| give_up.min(by));
-        if method == Method::GET && length > 0 {
+        let patience = patience.min(class.deadline).saturating_sub(AHEAD);
+        if method == Method::GET && length.is_some_and(|length| length > 0) {
             return Err(Malformed::NeedlessBody);
         }
         let cost = match text(headers, "x-cost") {
@@ -548,6 +545,30 @@
         };
         let tenant = text(headers, "x-tenant-id");
         let tenant = terms.tenants.iter().position(|t| Some(t.as_str()) == tenant).unwrap_or(0);
+        let (held, rest) = gather(body, MAX_BODY).await?;
+        if method == Method::GET && !held.is_empty() {
+            return Err(Malformed::NeedlessBody);
+        }
+        let mut taken = Taken::new(self.service.figures.clone(), kept.clone());
+        let (give_up, body, upload) = match rest {
+            None => {
+                // What came behind another request has waited here for that to be answered, and its client with it.
+                let came = peer.marks.last_read.get().unwrap_or_else(Instant::now) - self.waited();
+                peer.marks.read_since.set(None); // what comes from here on is the next head
+                taken.open();
+                let give_up = came + patience;
+                if Instant::now() >= give_up {
+                    return Ok(Answered::new(Final::Failed(StatusCode::GATEWAY_TIMEOUT), taken));
+                    // too late to begin
+                }
+                (give_up, Payload::Whole(held), Err(taken))
+            }
+            Some(rest) => {
+                let upload = Rc::new(Upload::new(held, rest, length, patience, taken));
+                (Instant::now() + UPLOAD, Payload::Coming(upload.clone()), Ok(upload))
+            }
+        };
+        let give_up = self.service.answers_by().map_or(give_up, |by| give_up.min(by));
         let (id, open) = (self.gateway.next_request(), Rc::new(Cell::new(true)));
         let request = ottervane::Request {
             id,
@@ -558,42 +579,114 @@
             repeat: text(headers, "x-retried") == Some("1"),
             allowance: 1.0,
             give_up_at: self.gateway.time(give_up),
+            coming: upload.is_ok(),
         };
-        let by = give_up.min(Instant::now() + BODY);
-        let body = timeout_at(by, whole(body)).await.unwrap_or(Err(Malformed::NoBody))?;
-        marks.read_since.set(None); // what comes from here on is the next head
-        let taken = Taken::new(&self.service.figures, name);
-        if Instant::now() >= give_up {
-            return Ok(taken.ended(Final::Failed(StatusCode::GATEWAY_TIMEOUT))); // too late to begin
-        }
         let passed_on = |(name, value): (&HeaderName, &HeaderValue)| {
             PASSED_ON.contains(name).then(|| (name.clone(), value.clone()))
         };
         let headers = headers.iter().filter_map(passed_on).collect();
-        let forward = Forward { method: head.method, uri: head.uri, headers, body };
+        let forward = Forward { method: head.method, uri: origin_form(&head.uri), headers, body };
         let (answer, decided) = oneshot::channel();
         let owed = Owed { gateway: self.gateway.clone(), id, open: open.clone() };
+        let class = kept.clone();
         self.gateway.tell(Message::Arrived(Box::new(Arrival {
             request,
             number,
             forward,
-            class: kept.clone(),
+            class,
             answer,
             open,
         })));
         let decided = decided.await;
         owed.open.set(false);
-        Ok(taken.ended(decided.unwrap_or(Final::Failed(StatusCode::BAD_GATEWAY))))
+        let decided = decided.unwrap_or(Final::Failed(StatusCode::BAD_GATEWAY));
+        let upload = match upload {
+            Err(taken) => return Ok(Answered::new(decided, taken)),
+            Ok(upload) => upload,
+        };
+        let passage = upload.passage();
+        let taken = upload.taken().unwrap_or_else(|| Taken::new(self.service.figures.clone(), kept));
+        if passage == Passage::Complete {
+            peer.marks.read_since.set(None);
+            return Ok(Answered::new(decided, taken));
+        }
+        // The client writes on, and reads that it is over once it has ended, or has no more to say.
+        spawn_local(async move { upload.discard(DISCARD).await });
+        if passage == Passage::Failed {
+            return Err(Malformed::NoBody);
+        }
+        Ok(Answered { close: true, ..Answered::new(decided, taken) })
+    }
+}
+
+/// How a request was decided.
+struct Answered {
+    answer: Final,
+    /// Its body has not been read to the end.
+    close: bool,
+}
+
+impl Answered {
+    /// Counts it, or has its body do so once that has passed.
+    fn new(mut answer: Final, counted: Taken) -> Answered {
+        match &mut answer {
+            Final::Served(Answer { body: Reply::Coming { taken, .. }, .. }) => *taken = Some(counted),
+            Final::Served(_) => counted.ended(Ending::Answered),
+            Final::Refused { .. } => counted.ended(Ending::Deferred),
+            Final::Failed(_) => counted.ended(Ending::Errored),
+        }
+        Answered { answer, close: false }
     }
 }
 
-/// Reads a body to its end.
-async fn whole(body: Incoming) -> Result<Bytes, Malformed> {
-    match Limited::new(body, MAX_BODY).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<hyper::Error>() => Err(Malformed::NoBody),
-        Err(_) => Err(Malformed::TooLong),
+/// An answer on its way to the client.
+struct Outgoing {
+    reply: Reply,
+    _resting: Option<Resting>,
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        Pin::new(&mut self.reply).poll_frame(cx)
     }
+
+    fn is_end_stream(&self) -> bool {
+        self.reply.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.reply.size_hint()
+    }
+}
+
+/// Notes that a connection rests, once the answer that is being passed on over it is over.
+struct Resting {
+    server: Rc<Server>,
+    peer: Rc<Peer>,
+    rests: bool,
+}
+
+impl Drop for Resting {
+    fn drop(&mut self) {
+        let now = Some(Instant::now());
+        self.peer.idle_since.set(now);
+        self.server.note_rest(&self.peer, self.rests);
+        if self.peer.marks.read_since.get().is_some() {
+            self.peer.marks.read_since.set(now); // the next head has begun already
+        }
+    }
+}
+
+/// What a host is asked for: a target that names a host as well goes on without it.
+fn origin_form(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(|| uri.clone(), Uri::from)
 }
 
 /// Takes a connection off the server's books, however its task ends.
@@ -610,8 +703,8 @@
     }
 }
 
-fn plain(status: StatusCode, text: &str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::copy_from_slice(text.as_bytes())));
+fn plain(status: StatusCode, text: &str) -> Response<Reply> {
+    let mut response = Response::new(Reply::Whole(Bytes::copy_from_slice(text.as_bytes())));
     *response.status_mut() = status;
     response
 }
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -1,16 +1,17 @@
 //! Connections to hosts: one attempt at a time on each, every attempt counted, every end told apart.
 
-use crate::exchange::{Answer, Forward};
+use crate::exchange::{Answer, Forward, Passage, Payload, Piece, Reply, Sending};
 use crate::figures::Figures;
-use crate::limits::{MAX_BODY, MAX_BUFFER};
+use crate::limits::{MAX_BODY, MAX_BUFFER, MAX_LARGE};
 use crate::sockets::{Slot, Slots};
 use crate::wire::{Marks, Wire};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Body;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::ext::on_informational;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::response::Parts;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use ottervane::report::ReportFields;
@@ -27,12 +28,19 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use tokio::sync::{mpsc, Notify};
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
-/// An answer is whole so long after its first byte. What keeps the connection open after noise, or after less than it
-/// promised, would hold its request until that times out, too late for another try.
+/// An answer that is held until it is whole may be silent for so long. What keeps the connection open after noise, or
+/// after less than it promised, would hold its request until that times out, too late for another try.
 const ANSWER: Duration = Duration::from_millis(100);
+/// One that says it is longer than what is held is passed on so long after its body began to come, if it comes still ...
+const FLOWS: Duration = Duration::from_millis(40);
+/// ... and one that does not say so, so long before its time is over, if so much of it has come.
+const LAST: Duration = Duration::from_millis(25);
+const MUCH: usize = 4 << 10;
+/// Neither side of an answer that is passed on may rest for so long.
+const STALL: Duration = Duration::from_secs(10);
 /// A connection rests for so long between two requests: what a host sends beyond an answer comes right behind it, and
 /// must not be read as the answer to the next.
 const REST: Duration = Duration::from_millis(2);
@@ -91,6 +99,57 @@
     pub takes_work: Cell<bool>,
 }
 
+/// When an attempt is given up; a body that is still coming moves it.
+#[derive(Debug)]
+pub struct Until {
+    at: Cell<Instant>,
+    moved: Notify,
+}
+
+impl Until {
+    /// At this moment.
+    pub fn new(at: Instant) -> Rc<Until> {
+        Rc::new(Until { at: Cell::new(at), moved: Notify::new() })
+    }
+
+    /// Moves it.
+    pub fn set(&self, at: Instant) {
+        self.at.set(at);
+        self.moved.notify_one();
+    }
+
+    fn get(&self) -> Instant {
+        self.at.get()
+    }
+
+    /// Waits for it. Cancel safe; for one waiter.
+    async fn passed(&self) {
+        while Instant::now() < self.get() {
+            tokio::select! {
+                () = sleep_until(self.get()) => {}
+                () = self.moved.notified() => {}
+            }
+        }
+    }
+}
+
+/// What becomes of an attempt on its way.
+pub enum Stage {
+    /// Some of a body that is not held has left.
+    Spent,
+    /// All of it has.
+    Complete,
+    /// The answer is passed on while it comes.
+    Started {
+        /// The answer.
+        answer: Answer,
+        /// When its first byte came.
+        first: Instant,
+        /// The load report that came with it.
+        load: Option<LoadReport>,
+    },
+}
+
 /// One attempt to have a request served.
 pub struct Attempt {
     /// By whom.
@@ -98,7 +157,7 @@
     /// What is sent.
     pub forward: Rc<Forward>,
     /// When it is given up.
-    pub until: Instant,
+    pub until: Rc<Until>,
     /// Whether the request still wants an answer.
     pub open: Rc<Cell<bool>>,
     /// Calls the attempt off.
@@ -110,8 +169,8 @@
 struct Connection {
     host: HostId,
     address: SocketAddr,
-    sender: SendRequest<Full<Bytes>>,
-    driver: Pin<Box<http1::Connection<TokioIo<Wire>, Full<Bytes>>>>,
+    sender: SendRequest<Sending>,
+    driver: Pin<Box<http1::Connection<TokioIo<Wire>, Sending>>>,
     marks: Rc<Marks>,
     idle_since: Instant,
     _slot: Slot,
@@ -269,16 +328,18 @@
     }
 
     /// Makes the attempt and tells how it ended. Its connection is closed by then, or idle in the pool.
-    pub async fn attempt(&self, attempt: &Attempt) -> End {
+    pub async fn attempt(&self, attempt: &Attempt, tell: &dyn Fn(Stage)) -> End {
         let (sent, load) = (Cell::new(false), Cell::new(None));
         let (outcome, answer) = tokio::select! {
             biased;
             () = attempt.cancel.notified() => (Outcome::Cancelled, None),
-            ended = self.exchange(attempt, &sent, &load) => match ended {
-                Ok(answer) => (Outcome::Served, Some(answer)),
+            got = self.exchange(attempt, &sent, &load, tell) => match got {
+                Ok(Got::Whole(answer)) => (Outcome::Served, Some(answer)),
+                // From here on nothing but the two sides ends it.
+                Ok(Got::Large(large)) => (self.pass_on(*large, &attempt.host, load.get(), tell).await, None),
                 Err(outcome) => (outcome, None),
             },
-            () = sleep_until(attempt.until) =>
+            () = attempt.until.passed() =>
                 (if sent.get() { Outcome::TimedOut } else { Outcome::NoConnection }, None),
         };
         End { outcome, answer, load: load.get() }
@@ -289,18 +350,19 @@
         attempt: &Attempt,
         sent: &Cell<bool>,
         load: &Cell<Option<LoadReport>>,
-    ) -> Result<Answer, Outcome> {
+        tell: &dyn Fn(Stage),
+    ) -> Result<Got, Outcome> {
         let Attempt { host, forward, until, open, .. } = attempt;
         let mut connection = match self.reuse(host).await {
             Some(connection) => connection,
-            None => self.dial(host, *until).await?,
+            None => self.dial(host, until.get()).await?,
         };
         // The request may have been answered, and the host begun to drain, while the connection came up.
-        if !open.get() || !host.takes_work.get() || Instant::now() >= *until {
+        if !open.get() || !host.takes_work.get() || Instant::now() >= until.get() {
             self.put_back(connection, host).await;
             return Err(Outcome::NotSent);
         }
-        let mut request = request(forward, *until);
+        let mut request = request(forward, until.get());
         let informed = Arc::new(AtomicBool::new(false));
         let inform = informed.clone();
         on_informational(&mut request, move |_| inform.store(true, Ordering::Relaxed));
@@ -309,22 +371,31 @@
         connection.marks.read_since.set(None);
         sent.set(true);
         let sending = connection.sender.send_request(request);
+        let marks = connection.marks.clone();
         let answering = async {
             let (head, body) = sending.await?.into_parts();
-            if body.size_hint().lower() > MAX_BODY as u64 {
-                return Ok((head, Err("longer than an answer may be".into())));
-            }
-            Ok::<_, hyper::Error>((head, Limited::new(body, MAX_BODY).collect().await))
+            take_in(head, body, until, &marks).await
         };
-        let late = sleep_until(*until);
+        let late = sleep_until(until.get());
         tokio::pin!(answering, late);
-        let (mut over, mut counted) = (false, false);
+        let (mut over, mut counted, mut passage) = (false, false, Passage::Intact);
         let answered = poll_fn(|cx| {
             if let Poll::Ready(answered) = answering.as_mut().poll(cx) {
                 return Poll::Ready(Some(answered));
             }
             over = over || connection.driver.as_mut().poll(cx).is_ready();
-            if !counted && connection.marks.flushed.get() {
+            if let Payload::Coming(upload) = &forward.body {
+                let before = std::mem::replace(&mut passage, upload.passage());
+                if before == Passage::Intact && passage != before {
+                    tell(Stage::Spent);
+                }
+                if before != Passage::Complete && passage == Passage::Complete {
+                    tell(Stage::Complete);
+                }
+            } else {
+                passage = Passage::Complete;
+            }
+            if !counted && passage == Passage::Complete && connection.marks.flushed.get() {
                 counted = true;
                 self.figures.sent();
             }
@@ -335,33 +406,50 @@
                 connection.marks.read_since.set(None); // a 1xx: the answer itself has not begun
             }
             let Some(since) = connection.marks.read_since.get() else { return Poll::Pending };
-            if late.deadline() != since + ANSWER {
-                late.as_mut().reset(since + ANSWER);
+            let silent = connection.marks.last_read.get().map_or(since, |last| last.max(since)) + ANSWER;
+            if late.deadline() != silent {
+                late.as_mut().reset(silent);
             }
             late.as_mut().poll(cx).map(|()| None)
         })
         .await;
         let answered = answered.ok_or(Outcome::Reset)?;
-        let broken = if connection.marks.written.get() { Outcome::Reset } else { Outcome::NoConnection };
+        // What has not been written whole has never run: a host begins with the last byte.
+        let unwritten = !connection.marks.written.get() || passage != Passage::Complete;
+        let broken = if unwritten { Outcome::NoConnection } else { Outcome::Reset };
         let (head, body) = answered.map_err(|_| broken)?;
-        let body = match body {
-            Ok(body) => body.to_bytes(),
-            Err(error) if error.is::<hyper::Error>() => return Err(Outcome::Reset),
-            Err(_) => return Err(Outcome::Error), // longer than an answer may be
-        };
-        if !over {
-            self.put_back(connection, host).await;
-        }
         // Said twice it is no report: nothing tells which of the two is the host's.
         let mut reports = head.headers.get_all(LOAD).iter();
         if let (Some(Ok(text)), None) = (reports.next().map(HeaderValue::to_str), reports.next()) {
             load.set(self.reports.in_text(text));
         }
+        let body = match body {
+            Taken::Whole(body) => body,
+            Taken::Large { held, rest, said } if head.status == StatusCode::OK => {
+                let first = connection.marks.read_since.get().unwrap_or_else(Instant::now);
+                let mut headers = head.headers;
+                strip_hop_by_hop(&mut headers);
+                return Ok(Got::Large(Box::new(Large {
+                    connection,
+                    over,
+                    headers,
+                    first,
+                    held,
+                    rest,
+                    said,
+                })));
+            }
+            Taken::Broken => return Err(Outcome::Reset),
+            Taken::Large { .. } | Taken::TooLong => return Err(Outcome::Error),
+        };
+        if !over && passage == Passage::Complete {
+            self.put_back(connection, host).await;
+        }
         match head.status {
             StatusCode::OK => {
                 let mut headers = head.headers;
                 strip_hop_by_hop(&mut headers);
-                Ok(Answer { headers, body })
+                Ok(Got::Whole(Answer { headers, body: Reply::Whole(body) }))
             }
             // Only where the host says so is it sure that the request has not run.
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT
@@ -373,6 +461,55 @@
         }
     }
 
+    /// Passes a large answer on as it comes, at the pace of the slower side, until it is whole or either side is gone.
+    async fn pass_on(
+        &self,
+        large: Large,
+        host: &Host,
+        load: Option<LoadReport>,
+        tell: &dyn Fn(Stage),
+    ) -> Outcome {
+        let Large { mut connection, mut over, headers, first, held, mut rest, said } = large;
+        let (pieces, receiver) = mpsc::channel(1);
+        let mut brought = held.len() as u64;
+        let _ = pieces.try_send(Piece::Data(held)); // there is room for one
+        let body = Reply::Coming { left: said, pieces: receiver, over: false, taken: None };
+        tell(Stage::Started { answer: Answer { headers, body }, first, load });
+        loop {
+            let frame = poll_fn(|cx| {
+                if let Poll::Ready(frame) = Pin::new(&mut rest).poll_frame(cx) {
+                    return Poll::Ready(frame);
+                }
+                over = over || connection.driver.as_mut().poll(cx).is_ready();
+                Pin::new(&mut rest).poll_frame(cx)
+            });
+            let frame = tokio::select! {
+                biased;
+                () = pieces.closed() => return Outcome::Cancelled,
+                frame = timeout(STALL, frame) => frame,
+            };
+            let data = match frame {
+                Ok(Some(Ok(frame))) => frame.into_data(),
+                Ok(None) => {
+                    let _ = timeout(STALL, pieces.send(Piece::End)).await;
+                    if !over {
+                        self.put_back(connection, host).await;
+                    }
+                    return Outcome::Served;
+                }
+                Ok(Some(Err(_))) | Err(_) => return Outcome::Reset,
+            };
+            let Ok(data) = data else { continue }; // trailers are this connection's own
+            brought += data.len() as u64;
+            if brought > MAX_LARGE {
+                return Outcome::Error;
+            }
+            if !matches!(timeout(STALL, pieces.send(Piece::Data(data))).await, Ok(Ok(()))) {
+                return Outcome::Cancelled;
+            }
+        }
+    }
+
     async fn put_back(&self, mut connection: Connection, host: &Host) {
         if host.takes_work.get() && connection.is_open().await {
             connection.idle_since = Instant::now();
@@ -381,13 +518,90 @@
     }
 }
 
+/// What came of a request.
+enum Got {
+    /// A whole answer.
+    Whole(Answer),
+    /// One that is passed on while it comes.
+    Large(Box<Large>),
+}
+
+/// An answer that is too long to be held, and has begun to come.
+struct Large {
+    connection: Connection,
+    over: bool,
+    headers: HeaderMap,
+    first: Instant,
+    held: Bytes,
+    rest: Incoming,
+    said: Option<u64>,
+}
+
+/// What came of an answer's body.
+enum Taken {
+    Whole(Bytes),
+    Large { held: Bytes, rest: Incoming, said: Option<u64> },
+    TooLong,
+    Broken,
+}
+
+/// Takes an answer's body in until it is whole, or known to be longer than what is held.
+async fn take_in(
+    head: Parts,
+    mut body: Incoming,
+    until: &Until,
+    marks: &Marks,
+) -> Result<(Parts, Taken), hyper::Error> {
+    let said = body.size_hint().exact();
+    if said.is_some_and(|said| said > MAX_LARGE) {
+        return Ok((head, Taken::TooLong));
+    }
+    let large = said.is_some_and(|said| said > MAX_BODY as u64);
+    let (mut held, mut begun) = (BytesMut::new(), None);
+    loop {
+        let flowing = begun.is_some_and(|begun: Instant| begun.elapsed() >= FLOWS);
+        if held.len() > MAX_BODY || (large && flowing) {
+            return Ok((head, Taken::Large { held: held.freeze(), rest: body, said }));
+        }
+        let frame = match timeout_at(until.get() - LAST, body.frame()).await {
+            Ok(frame) => frame,
+            // It is not known to be short, and will not be whole in time.
+            Err(_) if said.is_none() && held.len() >= MUCH && still_comes(marks) => {
+                return Ok((head, Taken::Large { held: held.freeze(), rest: body, said }));
+            }
+            Err(_) => body.frame().await,
+        };
+        match frame {
+            None => return Ok((head, Taken::Whole(held.freeze()))),
+            Some(Err(_)) => return Ok((head, Taken::Broken)),
+            Some(Ok(frame)) => {
+                let Ok(data) = frame.into_data() else { continue };
+                begun = begun.or_else(|| Some(Instant::now()));
+                // The usual answer is one piece, and is not copied.
+                if held.is_empty() && said == Some(data.len() as u64) && !large {
+                    return Ok((head, Taken::Whole(data)));
+                }
+                held.extend_from_slice(&data);
+            }
+        }
+    }
+}
+
+fn still_comes(marks: &Marks) -> bool {
+    marks.last_read.get().is_some_and(|at| at.elapsed() < ANSWER)
+}
+
 /// The request as it is written to a host that has until `until`.
-fn request(forward: &Forward, until: Instant) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(forward.body.clone()));
+fn request(forward: &Forward, until: Instant) -> Request<Sending> {
+    let mut request = Request::new(Sending::new(&forward.body));
     *request.method_mut() = forward.method.clone();
     *request.uri_mut() = forward.uri.clone();
     *request.headers_mut() = forward.headers.clone();
-    let wait = until.saturating_duration_since(Instant::now()).as_micros();
+    let wait = match &forward.body {
+        Payload::Whole(_) => until.saturating_duration_since(Instant::now()),
+        Payload::Coming(upload) => upload.patience, // from its last byte on
+    };
+    let wait = wait.as_micros();
     if let Ok(wait) = HeaderValue::from_str(&format!("{wait}u")) {
         request.headers_mut().insert("x-timeout", wait);
     }
@@ -428,7 +642,7 @@
         let pool =
             Pool::new(Budget::new(&Default::default(), false).hosts, dial, keep, fields, Rc::default());
         let (method, uri) = (hyper::Method::GET, hyper::Uri::from_static("/look"));
-        let forward = Forward { method, uri, headers: HeaderMap::new(), body: Bytes::new() };
+        let forward = Forward { method, uri, headers: HeaderMap::new(), body: Default::default() };
         let attempt = Attempt {
             host: Rc::new(Host {
                 id: HostId(0),
@@ -436,11 +650,11 @@
                 takes_work: Cell::new(true),
             }),
             forward: Rc::new(forward),
-            until: Instant::now() + Duration::from_secs(10),
+            until: Until::new(Instant::now() + Duration::from_secs(10)),
             open: Rc::new(Cell::new(true)),
             cancel: Rc::default(),
         };
-        let (end, _host) = tokio::join!(pool.attempt(&attempt), host);
+        let (end, _host) = tokio::join!(pool.attempt(&attempt, &|_| {}), host);
         (end.outcome, end.load)
     }
 
@@ -475,11 +689,11 @@
             Rc::default(),
         );
         let (method, uri) = (hyper::Method::GET, hyper::Uri::from_static("/look"));
-        let forward = Forward { method, uri, headers: HeaderMap::new(), body: Bytes::new() };
+        let forward = Forward { method, uri, headers: HeaderMap::new(), body: Default::default() };
         let attempt = Attempt {
             host: Rc::new(Host { id: HostId(3), address, takes_work: Cell::new(true) }),
             forward: Rc::new(forward),
-            until: Instant::now() + Duration::from_secs(10),
+            until: Until::new(Instant::now() + Duration::from_secs(10)),
             open: Rc::new(Cell::new(true)),
             cancel: Rc::default(),
         };
@@ -489,7 +703,7 @@
             stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").await.expect("an answer");
             stream
         };
-        let (end, mut stream) = tokio::join!(pool.attempt(&attempt), host);
+        let (end, mut stream) = tokio::join!(pool.attempt(&attempt, &|_| {}), host);
         assert_eq!(end.outcome, Outcome::Served);
         let told = Cell::new(None);
         tokio::select! {
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -1,7 +1,8 @@
 //! A TCP stream that tells what has passed over it: HTTP is another's work, but which bytes came when is not told.
 
+use crate::framing::Framing;
 use socket2::SockRef;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::pin::Pin;
@@ -31,13 +32,20 @@
 pub struct Wire {
     stream: TcpStream,
     marks: Rc<Marks>,
+    framing: Option<Rc<RefCell<Framing>>>,
 }
 
 impl Wire {
     /// The stream, and the marks that it leaves.
     pub fn new(stream: TcpStream) -> (Wire, Rc<Marks>) {
         let marks = Rc::<Marks>::default();
-        (Wire { stream, marks: marks.clone() }, marks)
+        (Wire { stream, marks: marks.clone(), framing: None }, marks)
+    }
+
+    /// The same, and has the requests on it followed.
+    pub fn followed(self) -> (Wire, Rc<RefCell<Framing>>) {
+        let framing = Rc::<RefCell<Framing>>::default();
+        (Wire { framing: Some(framing.clone()), ..self }, framing)
     }
 
     /// Whether the kernel holds anything to read, be it the end. The runtime knows only what was there when it last
@@ -73,6 +81,9 @@
             let now = Some(Instant::now());
             self.marks.read_since.set(self.marks.read_since.get().or(now));
             self.marks.last_read.set(now);
+            if let Some(framing) = &self.framing {
+                framing.borrow_mut().take(&buffer.filled()[before..]);
+            }
         }
         read
     }
--- a/crates/rig/src/plain.rs
+++ b/crates/rig/src/plain.rs
@@ -66,6 +66,8 @@
                 self.open.remove(&request);
             }
             Event::Started { .. }
+            | Event::Spent { .. }
+            | Event::Complete { .. }
             | Event::Load { .. }
             | Event::Closed { .. }
             | Event::Timer { .. }
--- a/crates/rig/src/simulate/mod.rs
+++ b/crates/rig/src/simulate/mod.rs
@@ -569,6 +569,7 @@
             repeat: tries > 0,
             allowance,
             give_up_at: BEFORE + give_up,
+            coming: false,
         };
         self.cost.requests += 1;
         self.at(give_up, Happening::Backstop { n });
@@ -611,6 +612,8 @@
                 let n = place_of(request);
                 self.send(self.tries[n].gateway, n, host, until.saturating_sub(BEFORE));
             }
+            // No body of a script comes in pieces.
+            Action::Until { .. } => {}
             Action::Cancel { request, attempt } => {
                 let n = place_of(request);
                 let found = self.tries.get(n).and_then(|t| t.attempts.get(attempt as usize)).copied();
--- a/src/api.rs
+++ b/src/api.rs
@@ -246,6 +246,9 @@
     pub allowance: f64,
     /// When the client gives this try up.
     pub give_up_at: Duration,
+    /// Its body is still coming and is not held: it goes to one host as it comes, and its time begins with
+    /// [`Event::Complete`].
+    pub coming: bool,
 }
 
 impl Request {
@@ -260,6 +263,7 @@
             repeat: false,
             allowance: 1.0,
             give_up_at,
+            coming: false,
         }
     }
 }
@@ -315,7 +319,20 @@
     DiscoveryFailed,
     /// A client's request: one final answer is owed from here on.
     Request(Request),
-    /// The answer of a streamed request has begun; its time-outs stop.
+    /// The body of a [`Request::coming`] has begun to leave: what is gone can't be sent again.
+    Spent {
+        /// The request.
+        request: RequestId,
+    },
+    /// The last byte of the body of a [`Request::coming`] has gone: its time, and its host's, counts from now.
+    Complete {
+        /// The request.
+        request: RequestId,
+        /// When the client gives this try up.
+        give_up_at: Duration,
+    },
+    /// An answer is passed on while it comes: the choice is final, its time-outs stop, and how long the rest takes says
+    /// nothing of the host. No outcome is awaited.
     Started {
         /// The request.
         request: RequestId,
@@ -386,6 +403,13 @@
         /// When the attempt times out.
         until: Duration,
     },
+    /// The attempts of the request that are out are given up at another time.
+    Until {
+        /// The request.
+        request: RequestId,
+        /// When.
+        until: Duration,
+    },
     /// Call an attempt off.
     Cancel {
         /// The request.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -79,6 +79,13 @@
     nominal: f64, // the largest live weight that it was listed with: that of an idle one
 }
 
+impl Host {
+    /// When the oldest attempt was sent that is out and whose body is not still on its way.
+    fn oldest(&self) -> Option<f64> {
+        self.out.iter().copied().find(|sent| sent.is_finite())
+    }
+}
+
 /// Failures in a row of one class at one host: how many, the first and the last.
 #[derive(Clone, Copy, Debug, Default)]
 struct Ill {
@@ -93,7 +100,6 @@
     sent: f64,
     out: bool,
     never_ran: bool,
-    begun: bool, // its answer is being streamed to the client
 }
 
 #[derive(Clone, Debug)]
@@ -104,6 +110,10 @@
     hint: f64,     // what the client says of it, in seconds; 0 for nothing
     worth_by: f64, // after this nothing can be earned
     turn: f64, // when it may first be sent for its key's sake; without end while an earlier one has the turn
+    coming: bool, // its body is on its way: it has an aim but no time yet
+    spent: bool, // and some of it has left, so no other attempt can follow
+    hold_by: f64, // while it comes, it is held for a host until then
+    aim: f64,
     open: bool,
     limits: (u32, usize), // the most attempts, and the most that may be out when another is made: as it came
     attempts: Vec<Attempt>,
@@ -250,12 +260,19 @@
             Event::Hosts { full, hosts } => self.learn(now, full, hosts, actions),
             Event::DiscoveryFailed => self.ask_later(actions),
             Event::Request(r) => self.arrive(now, &r, actions),
-            Event::Started { request, attempt, latency } => self.with(now, request, actions, |me, req, _| {
-                if let Some(a) = req.attempts.get_mut(attempt as usize) {
-                    (req.open, a.begun) = (false, true);
-                    me.observe(now, a.host, latency.as_secs_f64() / req.work);
-                }
-            }),
+            // What follows is between the host and the client: the module is through with it.
+            Event::Started { request, attempt, latency } => {
+                self.with(now, request, actions, |me, req, actions| {
+                    req.open = false;
+                    me.settle(now, req, attempt, Outcome::Served, latency.as_secs_f64(), actions);
+                })
+            }
+            Event::Spent { request } => self.with(now, request, actions, |_, req, _| req.spent = true),
+            Event::Complete { request, give_up_at } => {
+                self.with(now, request, actions, |me, req, actions| {
+                    me.complete(now, request, req, give_up_at.as_secs_f64(), actions);
+                })
+            }
             Event::Outcome { request, attempt, latency, outcome, over } => {
                 self.with(now, request, actions, |me, req, actions| {
                     req.open &= !over;
@@ -306,7 +323,7 @@
         let open = req.open;
         f(self, &mut req, actions);
         if open && !req.open && self.set.may_cancel {
-            let out = (0u32..).zip(&req.attempts).filter(|(_, a)| a.out && !a.begun);
+            let out = (0u32..).zip(&req.attempts).filter(|(_, a)| a.out);
             actions.extend(out.map(|(attempt, _)| Action::Cancel { request: id, attempt }));
         }
         if req.open || req.out() > 0 {
@@ -412,7 +429,7 @@
         let (idle, again) = (req.out() == 0, !req.attempts.is_empty());
         let cost = if again { [1.0, RETRY][usize::from(idle)] } else { 0.0 };
         let go = self.may_go_on(req) && self.spare >= cost;
-        if idle && (now >= req.worth_by || !go) {
+        if idle && (now >= if req.coming { req.hold_by } else { req.worth_by } || !go) {
             return self.end(id, req, actions);
         }
         match (go && now >= req.turn).then(|| self.pick(now, req)).flatten() {
@@ -431,20 +448,22 @@
 
     /// Whether any attempt may still be made, by limits and effect; where to is for [`Self::may_send`].
     fn may_go_on(&self, req: &Request) -> bool {
+        let held = !req.spent && (!req.coming || req.out() == 0);
         let unsafe_ = matches!(self.set.classes[req.class].effect, Effect::Unsafe);
-        (req.attempts.len() as u32) < req.limits.0
+        held && (req.attempts.len() as u32) < req.limits.0
             && req.out() <= req.limits.1
             && !(unsafe_ && req.attempts.iter().any(|a| !a.never_ran))
     }
 
     fn send(&mut self, now: f64, id: RequestId, req: &mut Request, host: usize, actions: Out) {
         let h = &mut self.hosts[host];
-        h.out.push(now);
+        let sent = if req.coming { f64::INFINITY } else { now };
+        h.out.push(sent);
         self.traffic.out += f64::from(u8::from(req.out() == 0));
         h.tokens -= 1.0;
         let e = if self.traffic.latency > 0.0 { h.e * req.work } else { req.worth_by - now }; // no blind copy
         let look = (COPY_AT * e).max(self.set.tick.as_secs_f64());
-        req.attempts.push(Attempt { host, sent: now, out: true, never_ran: false, begun: false });
+        req.attempts.push(Attempt { host, sent, out: true, never_ran: false });
         let (host, until) = (HostId(host as u32), Duration::from_secs_f64(req.worth_by));
         actions.push(Action::Send { request: id, host, until });
         if self.may_go_on(req) && now + look < req.worth_by {
@@ -452,6 +471,24 @@
         }
     }
 
+    /// The last byte of a body that came in pieces has gone to its host: both have their time from now on.
+    fn complete(&mut self, now: f64, id: RequestId, req: &mut Request, give_up: f64, actions: Out) {
+        if !std::mem::take(&mut req.coming) {
+            return;
+        }
+        req.worth_by = give_up.min(now + req.aim);
+        for a in req.attempts.iter_mut().filter(|a| a.out) {
+            let out = &mut self.hosts[a.host].out;
+            if let Some(at) = out.iter().position(|sent| *sent == a.sent) {
+                out.remove(at);
+                out.push(now);
+            }
+            a.sent = now;
+        }
+        let until = Duration::from_secs_f64(req.worth_by);
+        actions.push(Action::Until { request: id, until });
+    }
+
     /// Books the end of an attempt: what it proves of the request and what it tells of the host.
     fn settle(&mut self, now: f64, req: &mut Request, n: u32, how: Outcome, y: f64, actions: Out) {
         let (work, class) = (req.work, req.class);
--- a/src/balancer/admission.rs
+++ b/src/balancer/admission.rs
@@ -45,7 +45,9 @@
         let work = work.clamp(0.25, 4.0);
         let give_up = r.give_up_at.as_secs_f64();
         let aim = class.aim.as_secs_f64() + class.aim_stretch * hint - self.set.tick.as_secs_f64();
-        let worth_by = if class.late_worth > 0.0 { give_up } else { give_up.min(now + aim) };
+        let hold_by = now + aim;
+        let aim = if class.late_worth > 0.0 { f64::INFINITY } else { aim };
+        let worth_by = if r.coming { give_up } else { give_up.min(now + aim) };
         // Little's law on own in-flight: what is out must still be served within its aim. What is worth least
         // goes first, but not by far: a day is also judged by its worst-served class.
         follow(&mut t.worth, class.worth);
@@ -74,9 +76,25 @@
         }
         let (class, key, attempts) = (r.class, r.key, Vec::new());
         let limits = (self.set.max_attempts, usize::from(self.set.second_copies));
-        let open = true;
-        self.requests
-            .insert(r.id.0, Request { class, key, work, hint, worth_by, turn, open, limits, attempts });
+        let (coming, spent, open) = (r.coming, false, true);
+        self.requests.insert(
+            r.id.0,
+            Request {
+                class,
+                key,
+                work,
+                hint,
+                worth_by,
+                turn,
+                coming,
+                spent,
+                hold_by,
+                aim,
+                open,
+                limits,
+                attempts,
+            },
+        );
         self.with(now, r.id, actions, |me, req, actions| me.advance(now, r.id, req, actions));
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -305,6 +305,8 @@
                 put("WakeMe", None, None);
                 let _ = write!(reply, r#","delay_s":{:.6},"label":{token}"#, after.as_secs_f64());
             }
+            // Bodies of the simulator's requests do not come in pieces.
+            Action::Until { .. } => return,
             Action::Probe { host } => put("Check", None, Some(host)),
             Action::Close { host } => put("Disconnect", None, Some(host)),
             Action::Subscribe => {
@@ -410,6 +412,7 @@
                     repeat: bits & 2 != 0,
                     allowance: 1.0,
                     give_up_at: time(e.not_after_s.ok_or_else(|| lacks("not_after_s"))?),
+                    coming: false,
                 })
             }
             "Begun" => {
