Pass on answers that trickle sooner, and count no body on its way as work out

And 301 of 1,265 timetable were refused on arrival while uploads of seconds stood as work out (balancer.rs, send: traffic.out and the host's out). Ruled out: spoilt answers (2 errors), dials, retries.

--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -36,8 +36,8 @@
 const ANSWER: Duration = Duration::from_millis(100);
 /// One that says it is longer than what is held is passed on so long after its body began to come, if it comes still ...
 const FLOWS: Duration = Duration::from_millis(40);
-/// ... and one that does not say so, so long before its time is over, if so much of it has come.
-const LAST: Duration = Duration::from_millis(25);
+/// ... and one that does not say how long it is, after this time and so many bytes: of a short one all would be there.
+const TRICKLES: Duration = Duration::from_millis(60);
 const MUCH: usize = 4 << 10;
 /// Neither side of an answer that is passed on may rest for so long.
 const STALL: Duration = Duration::from_secs(10);
@@ -371,10 +371,9 @@
         connection.marks.read_since.set(None);
         sent.set(true);
         let sending = connection.sender.send_request(request);
-        let marks = connection.marks.clone();
         let answering = async {
             let (head, body) = sending.await?.into_parts();
-            take_in(head, body, until, &marks).await
+            take_in(head, body).await
         };
         let late = sleep_until(until.get());
         tokio::pin!(answering, late);
@@ -546,12 +545,7 @@
 }
 
 /// Takes an answer's body in until it is whole, or known to be longer than what is held.
-async fn take_in(
-    head: Parts,
-    mut body: Incoming,
-    until: &Until,
-    marks: &Marks,
-) -> Result<(Parts, Taken), hyper::Error> {
+async fn take_in(head: Parts, mut body: Incoming) -> Result<(Parts, Taken), hyper::Error> {
     let said = body.size_hint().exact();
     if said.is_some_and(|said| said > MAX_LARGE) {
         return Ok((head, Taken::TooLong));
@@ -559,19 +553,12 @@
     let large = said.is_some_and(|said| said > MAX_BODY as u64);
     let (mut held, mut begun) = (BytesMut::new(), None);
     loop {
-        let flowing = begun.is_some_and(|begun: Instant| begun.elapsed() >= FLOWS);
-        if held.len() > MAX_BODY || (large && flowing) {
+        let for_long = |most| begun.is_some_and(|begun: Instant| begun.elapsed() >= most);
+        let trickles = said.is_none() && held.len() >= MUCH && for_long(TRICKLES);
+        if held.len() > MAX_BODY || (large && for_long(FLOWS)) || trickles {
             return Ok((head, Taken::Large { held: held.freeze(), rest: body, said }));
         }
-        let frame = match timeout_at(until.get() - LAST, body.frame()).await {
-            Ok(frame) => frame,
-            // It is not known to be short, and will not be whole in time.
-            Err(_) if said.is_none() && held.len() >= MUCH && still_comes(marks) => {
-                return Ok((head, Taken::Large { held: held.freeze(), rest: body, said }));
-            }
-            Err(_) => body.frame().await,
-        };
-        match frame {
+        match body.frame().await {
             None => return Ok((head, Taken::Whole(held.freeze()))),
             Some(Err(_)) => return Ok((head, Taken::Broken)),
             Some(Ok(frame)) => {
@@ -587,10 +574,6 @@
     }
 }
 
-fn still_comes(marks: &Marks) -> bool {
-    marks.last_read.get().is_some_and(|at| at.elapsed() < ANSWER)
-}
-
 /// The request as it is written to a host that has until `until`.
 fn request(forward: &Forward, until: Instant) -> Request<Sending> {
     let mut request = Request::new(Sending::new(&forward.body));
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -79,13 +79,6 @@
     nominal: f64, // the largest live weight that it was listed with: that of an idle one
 }
 
-impl Host {
-    /// When the oldest attempt was sent that is out and whose body is not still on its way.
-    fn oldest(&self) -> Option<f64> {
-        self.out.iter().copied().find(|sent| sent.is_finite())
-    }
-}
-
 /// Failures in a row of one class at one host: how many, the first and the last.
 #[derive(Clone, Copy, Debug, Default)]
 struct Ill {
@@ -457,9 +450,12 @@
 
     fn send(&mut self, now: f64, id: RequestId, req: &mut Request, host: usize, actions: Out) {
         let h = &mut self.hosts[host];
+        // A body on its way keeps no host at work: it counts once it is complete.
         let sent = if req.coming { f64::INFINITY } else { now };
-        h.out.push(sent);
-        self.traffic.out += f64::from(u8::from(req.out() == 0));
+        if !req.coming {
+            h.out.push(sent);
+            self.traffic.out += f64::from(u8::from(req.out() == 0));
+        }
         h.tokens -= 1.0;
         let e = if self.traffic.latency > 0.0 { h.e * req.work } else { req.worth_by - now }; // no blind copy
         let look = (COPY_AT * e).max(self.set.tick.as_secs_f64());
@@ -478,11 +474,8 @@
         }
         req.worth_by = give_up.min(now + req.aim);
         for a in req.attempts.iter_mut().filter(|a| a.out) {
-            let out = &mut self.hosts[a.host].out;
-            if let Some(at) = out.iter().position(|sent| *sent == a.sent) {
-                out.remove(at);
-                out.push(now);
-            }
+            self.hosts[a.host].out.push(now);
+            self.traffic.out += 1.0; // there is one at the most
             a.sent = now;
         }
         let until = Duration::from_secs_f64(req.worth_by);
@@ -495,7 +488,7 @@
         let Some(a) = req.attempts.get_mut(n as usize).filter(|a| a.out) else { return };
         (a.out, a.never_ran) = (false, how.never_ran());
         let (host, sent) = (a.host, a.sent);
-        self.traffic.out -= f64::from(u8::from(req.out() == 0));
+        self.traffic.out -= f64::from(u8::from(req.out() == 0 && !req.coming));
         let (h, t) = (&mut self.hosts[host], &mut self.traffic);
         let _ = h.out.iter().position(|&t| t == sent).map(|at| h.out.remove(at));
         if h.entry.state == HostState::Draining && self.set.release_within.is_some() {
--- a/src/balancer/pick.rs
+++ b/src/balancer/pick.rs
@@ -21,7 +21,7 @@
             api::HostState::Removed => false,
             api::HostState::Draining => true,
             api::HostState::Up => {
-                let e = h.oldest().map_or(h.e, |sent| h.e.max(now - sent));
+                let e = h.out.first().map_or(h.e, |sent| h.e.max(now - sent));
                 e > AVOIDED * self.prior(h).min(self.mean / h.size)
             }
         };
@@ -53,7 +53,7 @@
         for &i in self.ready[start..].iter().chain(&self.ready[..start]) {
             let h = &self.hosts[i];
             // An attempt overdue is a sample of at least its age: silence must not look like speed.
-            let mut e = h.oldest().map_or(h.e, |sent| h.e.max(now - sent));
+            let mut e = h.out.first().map_or(h.e, |sent| h.e.max(now - sent));
             // Where this class alone fails, each failure in a row costs an aim, and fades as a raised E does.
             let ill = h.ill.get(req.class).copied().unwrap_or_default();
             e += f64::from(ill.count) * aim * lasting(now - ill.last, self.aims.1, ill.count);
