--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -292,6 +292,13 @@
             Reply::Coming { left, pieces, over, taken } => match ready!(pieces.poll_recv(cx)) {
                 Some(Piece::Data(data)) => {
                     *left = left.map(|left| left.saturating_sub(data.len() as u64));
+                    // Where the length is known, nobody asks for the end.
+                    if *left == Some(0) {
+                        *over = true;
+                        if let Some(taken) = taken.take() {
+                            taken.ended(Ending::Answered);
+                        }
+                    }
                     Poll::Ready(Some(Ok(Frame::data(data))))
                 }
                 Some(Piece::End) => {
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`replay`] plays it on loopback sockets with real gateway processes. Both use the same node [`model`], the same
 //! [`plan`] of requests fixed ahead, and the same [`ledger`].
 
+pub mod bulk;
 pub mod client;
 pub mod count;
 pub mod draws;
--- a/crates/rig/src/scripted.rs
+++ b/crates/rig/src/scripted.rs
@@ -83,6 +83,17 @@
         Some(attempt)
     }
 
+    /// A request with this number has come whole to a stand-in that keeps no more of it.
+    pub(crate) fn sent_whole(&self, id: Option<&str>) -> Option<u64> {
+        let headers = HashMap::from([("x-request-id".to_owned(), id?.to_owned())]);
+        self.arrived(&Http { first: String::new(), headers, body: Vec::new() }, usize::MAX)
+    }
+
+    /// It has been answered, whole or not.
+    pub(crate) fn answered(&self, attempt: Option<u64>, whole: bool) {
+        self.ended(attempt, if whole { Ended::Served } else { Ended::Broken });
+    }
+
     fn ended(&self, attempt: Option<u64>, how: Ended) {
         if let Some(attempt) = attempt {
             self.note(|ledger, now| ledger.ended(attempt, now, how));
@@ -472,6 +483,8 @@
     child: Child,
     /// Where it takes requests.
     pub address: String,
+    /// Its second address, where it has one.
+    pub management: Option<String>,
 }
 
 /// Starts the built program on a configuration file with this text.
@@ -527,11 +540,76 @@
     ) -> Gateway {
         let mut command = command(program, name, &config.to_string());
         command.env("ROUTER_DISCOVERY", discovery.address.to_string());
+        Gateway::running(command)
+    }
+
+    /// Starts one on the clients' listener that this process holds, as descriptor 4.
+    pub fn start_shared(
+        program: &Program,
+        name: &str,
+        discovery: &ScriptedRegister,
+        config: &Value,
+        listener: &TcpListener,
+    ) -> Gateway {
+        let plain = command(program, name, &config.to_string());
+        let mut command = Command::new("sh");
+        command.args(["-c", "exec 4<&0 </dev/null; exec \"$0\"", program.path]);
+        for (key, value) in plain.get_envs() {
+            match value {
+                Some(value) => command.env(key, value),
+                None => command.env_remove(key),
+            };
+        }
+        let handed: std::os::fd::OwnedFd = listener.try_clone().expect("a clone").into();
+        command.stdin(handed).stderr(Stdio::piped()).env("ROUTER_INHERITED_FD", "4");
+        command.env("ROUTER_DISCOVERY", discovery.address.to_string());
+        Gateway::running(command)
+    }
+
+    fn running(mut command: Command) -> Gateway {
         let mut child = command.spawn().expect("the built gateway");
+        let mut management = None;
         let mut log = BufReader::new(child.stderr.take().expect("a log")).lines().map_while(Result::ok);
-        let address = log.find_map(|l| listening(&l));
+        let address = log.find_map(|l| {
+            let calls = l.split_once(" calls are answered address=");
+            management = calls.map(|(_, address)| address.trim().to_owned()).or(management.take());
+            listening(&l)
+        });
         spawn(move || log.for_each(|line| eprintln!("gateway: {line}")));
-        Gateway { child, address: address.expect("an address in the log") }
+        Gateway { child, address: address.expect("an address in the log"), management }
+    }
+
+    /// A call at the second address: its answer.
+    pub fn call(&self, method: &str, path: &str) -> Http {
+        let mut stream = self.caller();
+        write!(stream, "{method} {path} HTTP/1.1\r\nHost: staff\r\n\r\n").expect("a call");
+        Http::read(&mut BufReader::new(stream)).expect("an answer to a call")
+    }
+
+    /// A connection to the second address.
+    pub fn caller(&self) -> TcpStream {
+        let address = self.management.as_ref().expect("a second address");
+        let stream = TcpStream::connect(address).expect("a connection");
+        stream.set_read_timeout(Some(LONG)).expect("a time-out");
+        stream
+    }
+
+    /// A figure, by its name and label as they stand.
+    pub fn figure(&self, name: &str) -> Option<u64> {
+        let text = String::from_utf8(self.call("GET", "/_vars").body).expect("text");
+        text.lines().find_map(|line| line.strip_prefix(name)?.trim().parse().ok())
+    }
+
+    /// Whether it has not ended.
+    pub fn runs(&mut self) -> bool {
+        self.child.try_wait().expect("a child").is_none()
+    }
+
+    /// The most memory that it has had, in KiB.
+    pub fn peak_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("a status");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("a peak");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
     }
 
     /// A client with a connection of its own.
--- a/src/balancer/pick.rs
+++ b/src/balancer/pick.rs
@@ -10,20 +10,19 @@
 const SPILL: f64 = 0.85; // part of both that goes as requests end unserved: what is in trouble spills over
 const CROWDED: f64 = 3.0; // a key leaves its own hosts when their score is this many times the best
 
-/// Past this many times the mean of its kind, or of all, a host gets next to nothing: others would have to hold as many more.
-const AVOIDED: f64 = 4.0;
-
 impl Balancer {
-    /// How many listed hosts get next to nothing now: those that drain, and those whose score is out of all proportion.
+    /// How many listed hosts get next to nothing now: those that drain, and those that would be the choice only once every other
+    /// one had two requests more out than they have on the mean.
     pub fn avoided(&self, now: std::time::Duration) -> usize {
         let now = now.as_secs_f64();
+        let e = |h: &super::Host| h.out.first().map_or(h.e, |sent| h.e.max(now - sent)) * h.size;
+        let ready = self.ready.len() as f64;
+        let all: f64 = self.ready.iter().map(|&i| e(&self.hosts[i])).sum();
+        let usual = 2.0 + self.traffic.out / ready.max(1.0);
         let shunned = |h: &&super::Host| match h.entry.state {
             api::HostState::Removed => false,
             api::HostState::Draining => true,
-            api::HostState::Up => {
-                let e = h.out.first().map_or(h.e, |sent| h.e.max(now - sent));
-                e > AVOIDED * self.prior(h).min(self.mean / h.size)
-            }
+            api::HostState::Up => ready > 1.0 && e(h) > usual * (all - e(h)) / (ready - 1.0),
         };
         self.hosts.iter().filter(shunned).count()
     }
--- /dev/null
+++ b/tests/coming.rs
@@ -0,0 +1,254 @@
+//! Bodies that come in pieces, answers that are passed on while they come, and settings that change meanwhile.
+
+mod common;
+
+use common::{host, settings};
+use ottervane::*;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+const FAR: Duration = Duration::from_secs(1000);
+
+struct Bench {
+    b: Balancer,
+    now: Duration,
+    last: Vec<Action>,
+}
+
+impl Bench {
+    fn new(settings: Settings, hosts: u32) -> Bench {
+        let mut bench =
+            Bench { b: Balancer::new(settings, 7), now: Duration::from_secs(5), last: Vec::new() };
+        let list: Vec<Host> = (0..hosts).map(|i| Host { zone: 0, ..host(i, None) }).collect();
+        bench.give(Event::Hosts { full: true, hosts: &list });
+        bench
+    }
+
+    fn give(&mut self, event: Event<'_>) {
+        self.last.clear();
+        self.b.handle(self.now, event, &mut self.last);
+    }
+
+    /// A request; the host it was sent to, if any.
+    fn ask(&mut self, id: u64, class: usize, coming: bool) -> Option<u32> {
+        let give_up = if coming { self.now + FAR } else { self.now + MS(1200) };
+        self.give(Event::Request(Request { coming, ..Request::new(RequestId(id), class, give_up) }));
+        self.sent()
+    }
+
+    fn sent(&self) -> Option<u32> {
+        self.last.iter().find_map(|a| if let Action::Send { host, .. } = a { Some(host.0) } else { None })
+    }
+
+    fn end(&mut self, id: u64, latency: Duration, outcome: Outcome) {
+        let over = outcome == Outcome::Served;
+        self.give(Event::Outcome { request: RequestId(id), attempt: 0, latency, outcome, over });
+    }
+
+    fn serve(&mut self, ids: std::ops::Range<u64>, took: Duration) {
+        for id in ids {
+            self.ask(id, 0, false).expect("a host");
+            self.now += took;
+            self.end(id, took, Outcome::Served);
+        }
+    }
+}
+
+#[test]
+fn a_body_on_its_way_has_no_time_and_its_host_is_not_blamed_for_it() {
+    let mut bench = Bench::new(settings(), 2);
+    bench.serve(1..20, MS(20));
+    let busy = bench.ask(100, 4, true).expect("a host");
+    // It comes for ten seconds. All the while its host is as good as the other one.
+    let mut met = [0; 2];
+    for id in 200..300 {
+        bench.now += MS(80);
+        let host = bench.ask(id, 0, false).expect("a host");
+        met[host as usize] += 1;
+        bench.now += MS(20);
+        bench.end(id, MS(20), Outcome::Served);
+    }
+    assert!(met.iter().all(|n| *n > 20), "{met:?}, and host {busy} has the body");
+    assert!(!bench.last.iter().any(|a| matches!(a, Action::Refuse { .. } | Action::Fail { .. })));
+    let request = RequestId(100);
+    bench.give(Event::Spent { request });
+    let give_up_at = bench.now + MS(1200);
+    bench.give(Event::Complete { request, give_up_at });
+    let until =
+        bench.last.iter().find_map(|a| if let Action::Until { until, .. } = a { Some(*until) } else { None });
+    let until = until.expect("its time begins") - bench.now;
+    assert!(until > MS(250) && until <= MS(300), "{until:?}, of an aim of 300 ms");
+    bench.give(Event::Complete { request, give_up_at: bench.now + FAR });
+    assert!(bench.last.is_empty(), "it begins once");
+}
+
+#[test]
+fn what_has_left_is_sent_nowhere_else_and_what_has_not_is() {
+    for (class, how, spent) in [
+        (0, Outcome::NoConnection, false),
+        (0, Outcome::NoConnection, true),
+        (0, Outcome::Reset, true),
+        (4, Outcome::NoConnection, true),
+        (4, Outcome::Reset, true),
+    ] {
+        let mut bench = Bench::new(settings(), 5);
+        bench.serve(1..40, MS(20));
+        bench.ask(100, class, true).expect("a host");
+        if spent {
+            bench.give(Event::Spent { request: RequestId(100) });
+        }
+        bench.end(100, MS(30), how);
+        let answer = bench.last.iter().find(|a| matches!(a, Action::Refuse { .. } | Action::Fail { .. }));
+        match (spent, class, how) {
+            (false, ..) => assert!(bench.sent().is_some(), "{:?}", bench.last),
+            // An unsafe one that may have run is not said to be harmless to try again.
+            (true, 4, Outcome::Reset) => {
+                assert!(matches!(answer, Some(Action::Fail { .. })), "{:?}", bench.last)
+            }
+            (true, ..) => assert!(matches!(answer, Some(Action::Refuse { .. })), "{:?}", bench.last),
+        }
+    }
+}
+
+#[test]
+fn an_answer_that_has_begun_is_booked_at_its_first_byte() {
+    let mut bench = Bench::new(Settings { second_copies: true, ..settings() }, 2);
+    bench.serve(1..40, MS(20));
+    bench.ask(100, 0, false).expect("a host");
+    bench.now += MS(25);
+    bench.give(Event::Started { request: RequestId(100), attempt: 0, latency: MS(20) });
+    assert!(bench.last.is_empty(), "{:?}", bench.last);
+    // The rest takes half a minute: no copy, no time-out, and the host is as good as before.
+    let mut met = [0; 2];
+    for id in 200..240 {
+        bench.now += MS(700);
+        met[bench.ask(id, 0, false).expect("a host") as usize] += 1;
+        bench.now += MS(20);
+        bench.end(id, MS(20), Outcome::Served);
+    }
+    assert!(met.iter().all(|n| *n > 8), "{met:?}");
+    bench.end(100, Duration::from_secs(28), Outcome::Reset);
+    assert!(bench.last.is_empty(), "it was through with it");
+}
+
+#[test]
+fn avoided_hosts_are_those_that_get_next_to_nothing() {
+    let mut bench = Bench::new(settings(), 6);
+    let slow = |host: u32| if host == 3 { 1000 } else { 20 };
+    let mut id = 0;
+    let mut round = |bench: &mut Bench, n: u64, ms: &dyn Fn(u32) -> u64| {
+        let mut met = [0u32; 6];
+        for _ in 0..n {
+            id += 1;
+            let host = bench.ask(id, 0, false).expect("a host");
+            met[host as usize] += 1;
+            bench.now += MS(ms(host));
+            bench.end(id, MS(ms(host)), Outcome::Served);
+        }
+        met
+    };
+    round(&mut bench, 60, &|_| 20);
+    assert_eq!(bench.b.avoided(bench.now), 0);
+    round(&mut bench, 60, &slow);
+    let avoided = bench.b.avoided(bench.now);
+    let met = round(&mut bench, 100, &slow);
+    // The figure says one, and where the requests went says which.
+    assert_eq!(avoided, 1);
+    assert!(met[3] * 10 < met[0].max(met[1]), "{met:?}");
+    bench.b.retune(settings());
+    assert_eq!(bench.b.avoided(bench.now), 1, "new settings leave hosts what is known of them");
+    let leaving = Host { state: HostState::Draining, ..host(0, None) };
+    bench.give(Event::Hosts { full: false, hosts: &[leaving] });
+    assert!(bench.b.avoided(bench.now) >= 1, "one that leaves gets nothing");
+}
+
+#[test]
+fn new_settings_leave_open_requests_their_rules_and_hosts_their_history() {
+    let old = Settings { max_attempts: 3, second_copies: false, ..settings() };
+    let mut bench = Bench::new(old.clone(), 4);
+    bench.serve(1..80, MS(20));
+    bench.ask(100, 1, false).expect("a host");
+    let mut new = old;
+    new.classes[1].dropped = true;
+    new.classes.push(Class { effect: Effect::Unsafe, ..new.classes[1].clone() });
+    new.max_attempts = 1;
+    bench.b.retune(new);
+    // The open one may be tried again, as a keyed request with attempts left.
+    bench.end(100, MS(20), Outcome::Reset);
+    assert!(bench.sent().is_some(), "{:?}", bench.last);
+    bench.ask(101, 6, false).expect("a host");
+    bench.end(101, MS(20), Outcome::NoConnection);
+    assert!(bench.sent().is_none(), "one attempt by the new settings");
+}
+
+proptest! {
+    /// Whatever comes in whatever order, a request gets at most one answer, nothing goes out for it after that, and never a second
+    /// attempt once some of its body has left.
+    #[test]
+    fn any_order_of_events_keeps_the_rules(steps in prop::collection::vec((0u8..9, 0u64..6, 0u64..900), 1..120)) {
+        let mut bench = Bench::new(Settings { second_copies: false, ..settings() }, 4);
+        #[derive(Default)]
+        struct Told { known: bool, over: bool, spent: bool, sends: u32, out: u32 }
+        let mut told: BTreeMap<u64, Told> = BTreeMap::new();
+        for (step, id, ms) in steps {
+            bench.now += MS(ms);
+            let id = id + 1;
+            let request = RequestId(id);
+            let seen = told.entry(id).or_default();
+            let attempt = seen.sends.saturating_sub(1);
+            match step {
+                0 | 1 if !seen.known => {
+                    seen.known = true;
+                    let give_up = bench.now + FAR;
+                    let class = (ms % 6) as usize;
+                    bench.give(Event::Request(Request { coming: step == 1, ..Request::new(request, class, give_up) }));
+                }
+                2 if seen.out > 0 => {
+                    seen.spent = true;
+                    bench.give(Event::Spent { request });
+                }
+                3 => bench.give(Event::Complete { request, give_up_at: bench.now + MS(1200) }),
+                4 if seen.out > 0 && !seen.over => {
+                    (seen.over, seen.out) = (true, 0);
+                    bench.give(Event::Started { request, attempt, latency: MS(ms) });
+                }
+                5 if seen.out > 0 => {
+                    let how = [Outcome::NoConnection, Outcome::Reset, Outcome::TimedOut, Outcome::Rejected][(ms % 4) as usize];
+                    seen.out = 0;
+                    let over = seen.over;
+                    bench.give(Event::Outcome { request, attempt, latency: MS(ms), outcome: how, over });
+                }
+                6 => {
+                    seen.over |= seen.known;
+                    bench.give(Event::Abandoned { request });
+                }
+                7 => bench.give(Event::Timer { token: id }),
+                8 => {
+                    let mut new = Settings { second_copies: false, ..settings() };
+                    new.classes[(ms % 6) as usize].dropped = true;
+                    new.max_attempts = 1 + (ms % 4) as u32;
+                    bench.b.retune(new);
+                    bench.last.clear();
+                }
+                _ => bench.last.clear(),
+            }
+            for action in &bench.last {
+                match action {
+                    Action::Send { request, .. } => {
+                        let seen = told.entry(request.0).or_default();
+                        prop_assert!(!seen.over && seen.out == 0 && !seen.spent, "{:?}", action);
+                        (seen.sends, seen.out) = (seen.sends + 1, 1);
+                    }
+                    Action::Refuse { request, .. } | Action::Fail { request } => {
+                        let seen = told.entry(request.0).or_default();
+                        prop_assert!(!seen.over && seen.out == 0, "{:?}", action);
+                        seen.over = true;
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+}
