Hand what a process knows of hosts to the one that replaces it

The old process writes its estimates and rates once a second to the folder both share; the new one reads them once, checked as a whole (control/handover.rs), and goes on from them (balancer/memory.rs). A lock for life tells each of the other, and halves the descriptors.

--- /dev/null
+++ b/crates/control/src/handover.rs
@@ -0,0 +1,98 @@
+//! What a process writes for the one that takes over from it: a bounded text, checked as a whole. Whatever is wrong with it, the new
+//! process starts without.
+
+use ottervane::{HostMemory, Memory};
+use std::fmt::Write as _;
+use std::time::Duration;
+
+/// The first line: whose it is, and its version. Another version is passed over.
+const HEAD: &str = "ottervane-handover 1";
+/// The longest text that is read.
+pub const LONGEST: usize = 1 << 20;
+/// The most hosts that are written.
+const MOST: usize = 10_000;
+/// What is older tells of other days. It is written once in [`EVERY`].
+pub const OLDEST: Duration = Duration::from_secs(5);
+/// See [`OLDEST`].
+pub const EVERY: Duration = Duration::from_secs(1);
+
+/// Why a text is passed over.
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Unfit {
+    /// It is longer than any that this program writes.
+    #[error("it is longer than {LONGEST} bytes")]
+    Long,
+    /// It is another program's, or another version's.
+    #[error("its first line is not {HEAD:?}")]
+    Foreign,
+    /// It was written too long ago, or is said to come from the future.
+    #[error("it was written {0} ms before now; at most {max} ms count", max = OLDEST.as_millis())]
+    Old(i128),
+    /// Its end is missing, or a line of it.
+    #[error("it is not whole")]
+    Torn,
+    /// A line that says nothing, or a figure that can't be.
+    #[error("line {0} does not hold")]
+    Figure(usize),
+}
+
+/// The text of a memory, written at this Unix time.
+pub fn write(memory: &Memory, unix: Duration) -> String {
+    let [served, asked, warm] = memory.rates;
+    let mut text = format!("{HEAD}\nwritten {}\n", unix.as_millis());
+    let _ = writeln!(text, "traffic {served} {asked} {warm} {}", memory.latency);
+    let hosts = &memory.hosts[..memory.hosts.len().min(MOST)];
+    for host in hosts {
+        let _ = writeln!(text, "host {:016x} {}", host.hash, host.e);
+    }
+    let _ = writeln!(text, "end {}", hosts.len());
+    text
+}
+
+/// Reads such a text at this Unix time.
+///
+/// # Errors
+/// Why it is to be passed over.
+pub fn read(text: &str, unix: Duration) -> Result<Memory, Unfit> {
+    if text.len() > LONGEST {
+        return Err(Unfit::Long);
+    }
+    let mut lines = text.split_inclusive('\n').enumerate();
+    let mut next = || match lines.next() {
+        Some((n, line)) => line.strip_suffix('\n').map(|line| (n + 1, line)).ok_or(Unfit::Torn),
+        None => Err(Unfit::Torn),
+    };
+    if !matches!(next(), Ok((_, HEAD))) {
+        return Err(Unfit::Foreign);
+    }
+    let (n, line) = next()?;
+    let written: i128 =
+        line.strip_prefix("written ").and_then(|ms| ms.parse().ok()).ok_or(Unfit::Figure(n))?;
+    let age = (unix.as_millis() as i128).saturating_sub(written);
+    if !(0..=OLDEST.as_millis() as i128).contains(&age) {
+        return Err(Unfit::Old(age));
+    }
+    let (n, line) = next()?;
+    let figures = line.strip_prefix("traffic ").map(|rest| rest.split(' ').map(str::parse::<f64>));
+    let figures: Option<Vec<f64>> = figures.and_then(|f| f.collect::<Result<_, _>>().ok());
+    let Some(&[served, asked, warm, latency]) = figures.as_deref() else { return Err(Unfit::Figure(n)) };
+    let mut memory = Memory { hosts: Vec::new(), rates: [served, asked, warm], latency };
+    if !memory.holds() {
+        return Err(Unfit::Figure(n));
+    }
+    loop {
+        let (n, line) = next()?;
+        if let Some(count) = line.strip_prefix("end ") {
+            let whole = count.parse() == Ok(memory.hosts.len()) && next() == Err(Unfit::Torn);
+            return if whole { Ok(memory) } else { Err(Unfit::Torn) };
+        }
+        let host = line.strip_prefix("host ").and_then(|rest| rest.split_once(' ')).and_then(|(hash, e)| {
+            Some(HostMemory { hash: u64::from_str_radix(hash, 16).ok()?, e: e.parse().ok()? })
+        });
+        let host = host.ok_or(Unfit::Figure(n))?;
+        if !(Memory { hosts: vec![host], ..Memory::default() }).holds() {
+            return Err(Unfit::Figure(n));
+        }
+        memory.hosts.push(host);
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod classes;
 pub mod drain;
+pub mod handover;
 pub mod rewatch;
 pub mod storm;
--- /dev/null
+++ b/crates/control/tests/handover.rs
@@ -0,0 +1,67 @@
+//! What one process writes is read back by the next, whole or not at all.
+
+use ottervane::{HostMemory, Memory};
+use ottervane_control::handover::{read, write, Unfit, LONGEST, OLDEST};
+use proptest::prelude::*;
+use std::time::Duration;
+
+const NOW: Duration = Duration::from_secs(1_800_000_000);
+
+fn memory() -> impl Strategy<Value = Memory> {
+    let host = (any::<u64>(), 1e-6..500.0f64).prop_map(|(hash, e)| HostMemory { hash, e });
+    let rates = [0.0..1e6f64, 0.0..1e6f64, 0.0..1e3f64];
+    (prop::collection::vec(host, 0..40), rates, 0.0..10.0f64).prop_map(|(hosts, rates, latency)| Memory {
+        hosts,
+        rates,
+        latency,
+    })
+}
+
+proptest! {
+    #[test]
+    fn what_is_written_is_read_back_to_the_last_digit(memory in memory(), age in 0u64..5000) {
+        let text = write(&memory, NOW - Duration::from_millis(age));
+        prop_assert_eq!(read(&text, NOW), Ok(memory));
+    }
+
+    /// A process that is killed while it writes, or a file of noise, costs the memory and nothing else.
+    #[test]
+    fn a_torn_or_spoilt_text_is_passed_over(memory in memory(), at in any::<prop::sample::Index>(), byte in any::<u8>()) {
+        let text = write(&memory, NOW);
+        let torn = &text[..at.index(text.len())];
+        prop_assert!(read(torn, NOW).is_err(), "{:?}", torn);
+        let mut spoilt = text.clone().into_bytes();
+        spoilt[at.index(text.len())] = byte;
+        // A digit may have become another one: then the figures hold, and are as good as any.
+        if let Ok(memory) = read(&String::from_utf8_lossy(&spoilt), NOW) {
+            prop_assert!(memory.holds());
+        }
+    }
+
+    #[test]
+    fn nothing_makes_it_panic(text in "(ottervane-handover 1\nwritten [0-9]{0,20}\n)?(traffic|host|end|[ 0-9a-f.\n-]){0,40}") {
+        let _ = read(&text, NOW);
+    }
+}
+
+#[test]
+fn what_can_not_be_is_told_with_its_line() {
+    let memory =
+        Memory { hosts: vec![HostMemory { hash: 7, e: 0.05 }], rates: [10.0, 12.0, 3.0], latency: 0.05 };
+    let text = write(&memory, NOW);
+    assert_eq!(read(&text.replace("handover 1", "handover 2"), NOW), Err(Unfit::Foreign));
+    assert_eq!(read("", NOW), Err(Unfit::Foreign));
+    assert_eq!(read(&text, NOW + OLDEST + Duration::from_millis(1)), Err(Unfit::Old(5001)));
+    assert_eq!(read(&text, NOW - Duration::from_secs(1)), Err(Unfit::Old(-1000)), "from the future");
+    for figure in ["NaN", "inf", "-0.05", "0", "1e300", "soon"] {
+        assert_eq!(
+            read(&text.replace("7 0.05", &format!("7 {figure}")), NOW),
+            Err(Unfit::Figure(4)),
+            "{figure}"
+        );
+    }
+    assert_eq!(read(&text.replace("10 12", "-1 12"), NOW), Err(Unfit::Figure(3)));
+    assert_eq!(read(&text.replace("end 1", "end 2"), NOW), Err(Unfit::Torn));
+    assert_eq!(read(&(text.clone() + "host 1 1\n"), NOW), Err(Unfit::Torn));
+    assert_eq!(read(&"x".repeat(LONGEST + 1), NOW), Err(Unfit::Long));
+}
--- a/crates/gateway/src/config/platform.rs
+++ b/crates/gateway/src/config/platform.rs
@@ -267,6 +267,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use proptest::prelude::*;
 
     #[test]
     fn the_shipped_example_is_as_it_should_be() {
@@ -275,4 +276,34 @@
         assert_eq!(config.classes, ["timetable", "room-status", "enrol-pay", "book-room"]);
         assert_eq!(config.known.endpoints.len(), 2);
     }
+
+    proptest! {
+        /// Whatever becomes of a file's bytes, it is taken whole, with figures that can serve, or not at all.
+        #[test]
+        fn a_spoilt_file_is_taken_whole_or_not_at_all(
+            changes in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>(), 0usize..4), 1..6),
+        ) {
+            let good = include_str!("../../../../deploy/platform.example.json");
+            let running = Config::parse("good", good, None, |key, value| (key, value)).expect("the example").document;
+            let mut bytes = good.as_bytes().to_vec();
+            for (at, byte, how) in changes {
+                let at = at.index(bytes.len());
+                match how {
+                    0 => bytes[at] = byte,
+                    1 => drop(bytes.remove(at)),
+                    2 => bytes.truncate(at.max(1)),
+                    _ => bytes.insert(at, b"-0.e19"[usize::from(byte) % 6]),
+                }
+            }
+            let text = String::from_utf8_lossy(&bytes);
+            match Config::parse("spoilt", &text, Some(&running), |key, value| (key, value)) {
+                Ok(config) => {
+                    let classes: Vec<_> = config.named_classes().collect();
+                    prop_assert!(!classes.is_empty() && config.settings.max_attempts > 0);
+                    prop_assert!(classes.iter().all(|(name, c)| !name.is_empty() && !c.deadline.is_zero()), "{:?}", classes);
+                }
+                Err(error) => prop_assert!(error.to_string().len() < 4000, "{}", error),
+            }
+        }
+    }
 }
--- a/crates/gateway/src/core/messages.rs
+++ b/crates/gateway/src/core/messages.rs
@@ -5,7 +5,7 @@
 use crate::names::Names;
 use hyper::header::HeaderValue;
 use hyper::StatusCode;
-use ottervane::{HostId, LoadReport, Outcome, RequestId, Settings};
+use ottervane::{HostId, LoadReport, Memory, Outcome, RequestId, Settings};
 use ottervane_control::classes::Kept;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -131,6 +131,10 @@
         /// What it said.
         list: List,
     },
+    /// What another process knew is to be gone on from.
+    Recall(Memory),
+    /// What is known is to be told.
+    Remember(oneshot::Sender<Memory>),
     /// Other settings hold from now on.
     Retune(Box<Retune>),
     /// A watch on the hosts has failed or ended.
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -408,6 +408,12 @@
             }
             Message::DiscoveryFailed { watch, why } if watch == self.watch => self.watch_failed(&why),
             Message::Hosts { .. } | Message::DiscoveryFailed { .. } => {}
+            Message::Recall(memory) => {
+                let taken = self.balancer.recall(self.handle.time(Instant::now()), &memory);
+                info!(hosts = memory.hosts.len(), taken, "going on from what the process before knew");
+            }
+            // Who asked may have been told to stop.
+            Message::Remember(answer) => drop(answer.send(self.balancer.memory())),
             Message::Retune(retune) => self.retune(*retune),
         }
     }
--- /dev/null
+++ b/crates/gateway/src/daemon/handover.rs
@@ -0,0 +1,135 @@
+//! Two processes of one gateway, while one replaces the other: what each knows of the other through the folder they share, and the
+//! file in which the old one keeps what the new one should know. Nobody waits for anybody.
+
+use crate::core::messages::{Handle, Message};
+use crate::sockets::Budget;
+use ottervane::Memory;
+use ottervane_control::handover::{self, Unfit, EVERY, LONGEST};
+use std::fs::{self, File, TryLockError};
+use std::io::{self, Read};
+use std::path::Path;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::oneshot;
+use tracing::{info, warn};
+
+/// What is known, whole at any time.
+const MEMORY: &str = "ottervane.memory";
+/// Held by the process that serves, for its life.
+const SERVES: &str = "ottervane.serves";
+/// Held by one that has come to replace it, until it gets the other.
+const FOLLOWS: &str = "ottervane.follows";
+/// Each looks for the other this often.
+const LOOK: Duration = Duration::from_millis(250);
+
+fn unix() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
+/// What a process before this one knew, where it has just written it.
+pub fn read(folder: &Path) -> Option<Memory> {
+    let mut text = String::new();
+    let file = match File::open(folder.join(MEMORY)) {
+        Ok(file) => file,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return None, // the first one
+        Err(error) => {
+            warn!(%error, "what the process before knew can't be read; starting without");
+            return None;
+        }
+    };
+    // One byte more than may be read tells that it is too long.
+    let read = file.take(LONGEST as u64 + 1).read_to_string(&mut text);
+    match read.map(|_| handover::read(&text, unix())) {
+        Ok(Ok(memory)) => Some(memory),
+        Ok(Err(Unfit::Old(_))) => None, // nobody serves beside this one
+        Ok(Err(why)) => {
+            warn!(%why, "what the process before knew is passed over; starting without");
+            None
+        }
+        Err(error) => {
+            warn!(%error, "what the process before knew can't be read; starting without");
+            None
+        }
+    }
+}
+
+fn write(folder: &Path, memory: &Memory) -> io::Result<()> {
+    // The folder is memory: nothing outlives the machine, so there is nothing to make durable.
+    let beside = folder.join(format!("{MEMORY}.{}", std::process::id()));
+    fs::write(&beside, handover::write(memory, unix()))?;
+    fs::rename(beside, folder.join(MEMORY))
+}
+
+/// The lock of this name, if nobody has it. It lasts as long as what is given, and no longer than the process.
+fn lock(folder: &Path, name: &str) -> io::Result<Option<File>> {
+    let file = File::options().create(true).truncate(false).write(true).open(folder.join(name))?;
+    match file.try_lock() {
+        Ok(()) => Ok(Some(file)),
+        Err(TryLockError::WouldBlock) => Ok(None),
+        Err(TryLockError::Error(error)) => Err(error),
+    }
+}
+
+/// How this process stands to others.
+enum Place {
+    /// It serves, and holds the lock that says so.
+    Serves(File),
+    /// Another one serves still; this one follows it, and holds that lock unless a third does.
+    Follows(Option<File>),
+}
+
+/// Looks for another process of this gateway, for as long as it runs. While there is one, each has half of the descriptors. The one
+/// that serves writes down what it knows.
+pub async fn stand_by(folder: &Path, gateway: &Handle, budget: &Budget) {
+    let mut place = Place::Follows(None);
+    let (mut written, mut shared) = (None, None);
+    loop {
+        let looked = look(folder, place);
+        let (now_at, other) = match looked {
+            Ok(found) => found,
+            Err(error) => {
+                // Without the folder it is as if there were no other; both hold to their limits still.
+                warn!(%error, folder = %folder.display(), "the folder shared with the next process can't be used: it starts from nothing");
+                budget.share(false);
+                return;
+            }
+        };
+        place = now_at;
+        if shared.replace(other) != Some(other) {
+            budget.share(other);
+            info!(other, "another process of this gateway");
+        }
+        let due = written.is_none_or(|at: tokio::time::Instant| at.elapsed() >= EVERY);
+        if due && matches!(place, Place::Serves(_)) {
+            let (answer, told) = oneshot::channel();
+            gateway.tell(Message::Remember(answer));
+            if let Ok(memory) = told.await {
+                if let Err(error) = write(folder, &memory) {
+                    warn!(%error, "what this process knows can't be written; the next one starts from nothing");
+                }
+            }
+            written = Some(tokio::time::Instant::now());
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+/// Where it stands now, and whether there is another.
+fn look(folder: &Path, place: Place) -> io::Result<(Place, bool)> {
+    match place {
+        Place::Serves(held) => {
+            // Taken for a moment only, and free again before anything else runs.
+            let follower = lock(folder, FOLLOWS)?.is_none();
+            Ok((Place::Serves(held), follower))
+        }
+        Place::Follows(held) => match lock(folder, SERVES)? {
+            Some(serves) => Ok((Place::Serves(serves), false)),
+            None => {
+                let held = match held {
+                    Some(held) => Some(held),
+                    None => lock(folder, FOLLOWS)?,
+                };
+                Ok((Place::Follows(held), true))
+            }
+        },
+    }
+}
--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -1,5 +1,6 @@
 //! The process: start, wiring, reload, and the way out.
 
+pub mod handover;
 pub mod inherited;
 pub mod log;
 pub mod service;
@@ -18,8 +19,10 @@
 use ottervane_control::drain;
 use serde_json::Value;
 use service::Service;
+use std::env;
 use std::error::Error;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
@@ -156,8 +159,22 @@
     let reloading = reload.run(hang_up);
     info!(address = %listener.local_addr()?, "listening");
     // These live and die with the process: a panic in one of them ends it, for it would be half alive.
+    let folder = shared.then(|| env::var_os("TMPDIR")).flatten().map(PathBuf::from);
+    let mut known_before = folder.as_deref().and_then(handover::read);
+    let handing = async {
+        if let Some(folder) = &folder {
+            handover::stand_by(folder, &handle, &budget).await;
+        }
+    };
     let running = async {
-        tokio::join!(gateway.run(), pool.sweep(closed), server.feel_pulse(), server.sweep(), reloading)
+        tokio::join!(
+            gateway.run(),
+            pool.sweep(closed),
+            server.feel_pulse(),
+            server.sweep(),
+            reloading,
+            handing
+        )
     };
     tokio::pin!(running);
     let serving = async {
@@ -165,6 +182,9 @@
             // Another process may serve meanwhile. What it was told of drains binds this one too, so nobody is taken
             // in on a list that may be old, unless there is no other to be had.
             let _ = timeout(FIRST_NEWS, handle.news()).await;
+            if let Some(memory) = known_before.take() {
+                handle.tell(Message::Recall(memory));
+            }
         }
         service.begin();
         server.clone().accept(&listener).await;
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -26,16 +26,18 @@
 pub struct Slots {
     open: Rc<Cell<usize>>,
     most: usize,
+    /// Whether only half of them may be open, for another process has the other half.
+    halved: Rc<Cell<bool>>,
 }
 
 impl Slots {
     fn new(most: usize) -> Slots {
-        Slots { open: Rc::default(), most }
+        Slots { open: Rc::default(), most, halved: Rc::default() }
     }
 
     /// Takes a descriptor, if one is left.
     pub fn take(&self) -> Option<Slot> {
-        (self.open.get() < self.most).then(|| {
+        (self.open.get() < self.most()).then(|| {
             self.open.set(self.open.get() + 1);
             Slot(self.open.clone())
         })
@@ -43,7 +45,16 @@
 
     /// How many there are.
     pub fn most(&self) -> usize {
-        self.most
+        if self.halved.get() {
+            self.most.div_ceil(2)
+        } else {
+            self.most
+        }
+    }
+
+    /// Halves the number, or makes it whole again. What is open stays open.
+    fn halve(&self, halved: bool) {
+        self.halved.set(halved);
     }
 
     /// Whether the descriptor is one of these.
@@ -78,6 +89,13 @@
 }
 
 impl Budget {
+    /// Leaves half of the clients' and hosts' descriptors to another process, or takes them back.
+    pub fn share(&self, shared: bool) {
+        for slots in [&self.clients, &self.overflow, &self.hosts] {
+            slots.halve(shared);
+        }
+    }
+
     /// Shares out what the limits allow: of the memory, clients together may fill three quarters.
     /// With `managed` a few are kept for the second address.
     pub fn new(limits: &Limits, managed: bool) -> Budget {
--- a/crates/gateway/tests/day_by_day/main.rs
+++ b/crates/gateway/tests/day_by_day/main.rs
@@ -568,3 +568,165 @@
     let peak = gateway.peak_memory();
     assert!(peak < 48 << 10, "{peak} KiB");
 }
+
+#[test]
+fn what_a_killed_gateway_held_is_free_at_its_hosts_and_served_by_the_next_process() {
+    let host = ScriptedNode::start(|r| if r.first.contains("pay") { Reply::Hang } else { Reply::ok("ok") });
+    let hosts = crowd(|name| host.entry(name, 1));
+    let (mut gateway, _discovery) = start("killed", &hosts);
+    let mut held: Vec<_> = (0..8).map(|_| gateway.connect()).collect();
+    held.iter_mut().for_each(|client| client.send("pay"));
+    wait_for("the attempts", || host.count() == 8);
+    gateway.signal("KILL");
+    gateway.wait();
+    wait_for("the hosts' release", || host.left.load(Ordering::SeqCst) == 8);
+    let (next, _discovery) = start("killed", &hosts);
+    assert_eq!(next.ask("look").status(), 200);
+    assert_eq!(next.figure("router_sends"), Some(1), "each process counts from 0");
+    held.iter_mut().for_each(|client| client.forget());
+}
+
+#[test]
+fn a_new_process_goes_on_from_what_the_old_one_knew_and_shares_the_descriptors() {
+    // One host is slow: the old process learns it, and the new one knows it from its first request.
+    let quick = ScriptedNode::start(|_| Reply::ok("ok"));
+    let slow = ScriptedNode::start(|_| {
+        sleep(Duration::from_millis(120));
+        Reply::ok("ok")
+    });
+    let hosts = [quick.entry("s-1", 1), slow.entry("s-2", 1)];
+    let folder = format!("{}/handed-memory", env!("CARGO_TARGET_TMPDIR"));
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let begin = |name: &str| {
+        let discovery = ScriptedRegister::start();
+        let config = managed(&discovery, &hosts);
+        let gateway = Gateway::start_sharing(&PROGRAM, name, &discovery, &config, &listener, &folder);
+        discovery.push(json!({"index": 42, "snapshot": true, "endpoints": hosts}));
+        wait_for("readiness", || gateway.call("GET", "/_ready").status() == 200);
+        (gateway, discovery)
+    };
+    let (mut old, _old_news) = begin("memory-old");
+    for _ in 0..40 {
+        assert_eq!(old.ask("look").status(), 200);
+    }
+    let memory = format!("{folder}/ottervane.memory");
+    wait_for("the memory of both hosts", || {
+        std::fs::read_to_string(&memory).is_ok_and(|text| text.matches("\nhost ").count() == 2)
+    });
+    let (new, _new_news) = begin("memory-new");
+    old.signal("TERM");
+    assert!(old.wait().success());
+    // Until a raised E has faded, the slow one gets next to nothing.
+    let before = slow.count();
+    for _ in 0..20 {
+        assert_eq!(new.ask("look").status(), 200);
+    }
+    assert!(slow.count() - before <= 4, "{} of 20 went to the slow host", slow.count() - before);
+    drop(new);
+    // A spoilt file costs the memory and nothing else.
+    std::fs::write(&memory, "ottervane-handover 1\nwritten soon\n").expect("a file");
+    let (spoilt, _news) = begin("memory-spoilt");
+    assert_eq!(spoilt.ask("look").status(), 200);
+}
+
+/// What clients got is what the figures say, for each class, once all is over; whatever hosts did.
+#[test]
+fn figures_agree_with_what_clients_got_on_days_drawn_at_random() {
+    for seed in [3u64, 11, 29] {
+        let drawn = Arc::new(AtomicUsize::new(0));
+        let draw = move |n: usize| (ottervane::mix(seed.wrapping_mul(1 << 20) ^ n as u64) % 100) as usize;
+        let next = drawn.clone();
+        let host = ScriptedNode::start(move |_| match draw(next.fetch_add(1, Ordering::SeqCst)) {
+            0..70 => Reply::ok("ok"),
+            70..80 => Reply::Answer(500, "", Vec::new()),
+            80..90 => Reply::Answer(503, "X-Not-Processed: 1\r\n", Vec::new()),
+            90..95 => Reply::Half,
+            _ => Reply::Break,
+        });
+        let (gateway, _discovery) = start(&format!("tally-{seed}"), &crowd(|name| host.entry(name, 1)));
+        let classes = ["look", "pay", "book", "once"];
+        let mut got = [[0u64; 3]; 4];
+        let mut client = gateway.connect();
+        for n in 0..160 {
+            let class = draw(1000 + n) % classes.len();
+            client.send(classes[class]);
+            let answer = client.read().expect("an answer");
+            let how = match answer.status() {
+                200 => 0,
+                429 | 503 => 1,
+                _ => 2,
+            };
+            got[class][how] += 1;
+            if answer.header("connection") == Some("close") {
+                client = gateway.connect();
+            }
+        }
+        for (class, got) in classes.iter().zip(got) {
+            let figure = |name: &str| {
+                gateway.figure(&format!("router_{name}{{group=\"{class}\"}}")).expect("a figure")
+            };
+            assert_eq!(
+                [figure("answered"), figure("deferred"), figure("errored")],
+                got,
+                "{class}, seed {seed}"
+            );
+        }
+        assert_eq!(
+            (gateway.figure("router_current"), gateway.figure("router_sends")),
+            (Some(0), Some(host.count() as u64))
+        );
+    }
+}
+
+/// Cuts change nothing: sizes of pieces and chunks are drawn, both ways.
+#[test]
+fn pieces_cut_anywhere_arrive_as_they_were_sent() {
+    for seed in 0u64..8 {
+        let draw = |n: u64, most: u64| 1 + ottervane::mix(seed << 8 | n) % most;
+        let paced = |n: u64, length: u64, form: Form| Bulk {
+            pace: Some((draw(n, 40_000) as usize, Duration::from_micros(200))),
+            ..Bulk::new(length, form)
+        };
+        let down = paced(1, draw(2, 300_000), if seed % 2 == 0 { Form::Chunked } else { Form::Length });
+        let up = paced(3, draw(4, 300_000), if seed % 3 == 0 { Form::Length } else { Form::Chunked });
+        let node = BulkNode::start(down);
+        let (gateway, _discovery) = start(&format!("cuts-{seed}"), &[node.entry("s-1")]);
+        let answer = ask(&gateway.address, &request("once"), Some(up), Duration::ZERO).expect("an answer");
+        assert_eq!(
+            (answer.status(), answer.whole, answer.length),
+            (200, true, down.length),
+            "{down:?} for {up:?}"
+        );
+        assert_eq!(answer.digest, down.digest(), "{down:?}");
+        assert_eq!(node.seen.lock().expect("lock").pop().expect("a request").digest, up.digest(), "{up:?}");
+    }
+}
+
+/// A measurement, not a check of each landing: `cargo test --release -p ottervane-gateway --test day_by_day -- --ignored --nocapture`.
+#[test]
+#[ignore = "13 GB over loopback"]
+fn two_hundred_transfers_of_32_mb_at_once() {
+    let node = BulkNode::start(Bulk::new(32_000_000, Form::Length));
+    let discovery = ScriptedRegister::start();
+    let mut config =
+        managed(&discovery, &(0..300).map(|n| node.entry(&format!("s-{n}"))).collect::<Vec<_>>());
+    config["limits"]["memory_mb"] = 192.into();
+    config["limits"]["sockets"] = 1024.into();
+    let gateway = Gateway::start_with(&PROGRAM, "two-hundred", &discovery, &config);
+    let address = &gateway.address;
+    let begun = Instant::now();
+    let whole = std::thread::scope(|scope| {
+        let ask_one = |n: u64| {
+            move || {
+                ask(address, &request("pay"), Some(Bulk::new(32_000_000 - n, Form::Chunked)), Duration::ZERO)
+            }
+        };
+        let clients: Vec<_> = (0..200).map(|n| scope.spawn(ask_one(n))).collect();
+        let answers = clients.into_iter().filter_map(|client| client.join().expect("a client"));
+        answers.filter(|a| a.status() == 200 && a.whole).count()
+    });
+    println!("{whole} of 200 whole in {:?}, peak {} KiB", begun.elapsed(), gateway.peak_memory());
+    assert!(gateway.peak_memory() < 192 << 10);
+}
--- a/crates/rig/src/script/mod.rs
+++ b/crates/rig/src/script/mod.rs
@@ -55,6 +55,14 @@
     pub joining: usize,
     /// When these do.
     pub joins_at: Duration,
+    /// How many gateways are killed, with whatever they hold, in virtual time.
+    pub killed: usize,
+    /// When.
+    pub killed_at: Duration,
+    /// After so long they are there again, and know nothing.
+    pub back_after: Duration,
+    /// So long the front goes on dealing to a gateway that is not there.
+    pub noticed: Duration,
     /// How many nodes; likewise.
     pub nodes: usize,
     /// How many nodes of a zone make a rack.
--- a/crates/rig/src/script/read.rs
+++ b/crates/rig/src/script/read.rs
@@ -121,6 +121,16 @@
             );
         }
         let joins_at = t.within("joins_at", Duration::ZERO..=LONGEST, ms(10_000));
+        let killed = t.within("killed", 0..=999, 0u64) as usize;
+        if killed >= gateways {
+            t.wrong(
+                "killed",
+                format!("must be less than gateways, which is {gateways}: somebody has to serve"),
+            );
+        }
+        let killed_at = t.within("killed_at", Duration::ZERO..=LONGEST, ms(10_000));
+        let back_after = t.within("back_after", ms(1)..=LONGEST, ms(3000));
+        let noticed = t.within("noticed", Duration::ZERO..=LONGEST, ms(2000));
         let nodes = t.within("nodes", 1..=1000, 12u64) as usize;
         let rack = t.within("rack", 1..=1000, 3u64) as usize;
         let tables = t.tables("kind");
@@ -133,7 +143,21 @@
         if kinds.iter().map(|k| k.share).sum::<f64>() <= 0.0 {
             t.wrong("kind", "the shares of all kinds together are 0");
         }
-        Fleet { zones, gateways, on_sockets, told, joining, joins_at, nodes, rack, kinds }
+        Fleet {
+            zones,
+            gateways,
+            on_sockets,
+            told,
+            joining,
+            joins_at,
+            killed,
+            killed_at,
+            back_after,
+            noticed,
+            nodes,
+            rack,
+            kinds,
+        }
     })
 }
 
--- a/crates/rig/src/scripted.rs
+++ b/crates/rig/src/scripted.rs
@@ -550,6 +550,18 @@
         discovery: &ScriptedRegister,
         config: &Value,
         listener: &TcpListener,
+    ) -> Gateway {
+        Gateway::start_sharing(program, name, discovery, config, listener, "")
+    }
+
+    /// The same, with a folder that all processes of the gateway share; none where it is empty.
+    pub fn start_sharing(
+        program: &Program,
+        name: &str,
+        discovery: &ScriptedRegister,
+        config: &Value,
+        listener: &TcpListener,
+        folder: &str,
     ) -> Gateway {
         let plain = command(program, name, &config.to_string());
         let mut command = Command::new("sh");
@@ -562,7 +574,10 @@
         }
         let handed: std::os::fd::OwnedFd = listener.try_clone().expect("a clone").into();
         command.stdin(handed).stderr(Stdio::piped()).env("ROUTER_INHERITED_FD", "4");
-        command.env("ROUTER_DISCOVERY", discovery.address.to_string());
+        command.env("ROUTER_DISCOVERY", discovery.address.to_string()).env_remove("TMPDIR");
+        if !folder.is_empty() {
+            command.env("TMPDIR", folder);
+        }
         Gateway::running(command)
     }
 
@@ -701,6 +716,13 @@
         self.write(request(class).as_bytes());
     }
 
+    /// Its gateway was killed: no answer is owed to it any more.
+    pub fn forget(&mut self) {
+        for request in self.owed.drain(..).flatten() {
+            self.book.note(|ledger, now| ledger.gave_up(request, now));
+        }
+    }
+
     /// The next answer; none where the connection ends.
     pub fn read(&mut self) -> Option<Http> {
         let answer = Http::read(&mut self.reader);
--- a/crates/rig/src/simulate/mod.rs
+++ b/crates/rig/src/simulate/mod.rs
@@ -3,6 +3,7 @@
 //! Sockets are left out, and with them all that the program round the module does; what is found here is found about
 //! decisions. Sizes that no machine holds are played in seconds, and two runs of a seed are the same to the byte.
 
+mod killed;
 mod register;
 
 use crate::client::{next_try, patience, Seen};
@@ -78,7 +79,7 @@
     /// The gateway's last moment for it.
     Backstop { n: usize },
     /// A timer of a gateway's module.
-    Timer { gateway: usize, token: u64 },
+    Timer { gateway: usize, life: u32, token: u64 },
     /// A dial reaches a node.
     Dial { a: usize },
     /// It has come up, or not.
@@ -113,6 +114,12 @@
     Deed { node: usize, deed: Deed },
     /// The gateways that start later do.
     Join,
+    /// Gateways are killed.
+    Kill,
+    /// The front has noticed that they are not there.
+    Noticed,
+    /// They start again.
+    Back,
     /// The state is looked at.
     Sample,
 }
@@ -167,6 +174,9 @@
     idle: Vec<Vec<(u64, Duration)>>,
     version: u64,
     watching: bool,
+    /// Which of its processes runs, counted from 0, if one does.
+    life: u32,
+    alive: bool,
 }
 
 /// One try of a client.
@@ -317,6 +327,8 @@
                 idle: vec![Vec::new(); script.fleet.nodes],
                 version: 0,
                 watching: script.register.pushed && g < there,
+                life: 0,
+                alive: true,
             });
         }
         let (nodes, places) = (nodes(script, draws), day.len());
@@ -358,6 +370,9 @@
         if there < count {
             world.at(script.fleet.joins_at, Happening::Join);
         }
+        if script.fleet.killed > 0 {
+            world.at(script.fleet.killed_at, Happening::Kill);
+        }
         for place in 0..places {
             let at = world.day[place].at;
             world.at(at, Happening::Ask { place, tries: 0 });
@@ -410,7 +425,12 @@
                     self.decide(self.tries[n].gateway, Event::Abandoned { request: id(n) });
                 }
             }
-            Happening::Timer { gateway, token } => self.decide(gateway, Event::Timer { token }),
+            // One set by a process that is no more is nobody's.
+            Happening::Timer { gateway, life, token } => {
+                if life == self.gateways[gateway].life {
+                    self.decide(gateway, Event::Timer { token });
+                }
+            }
             Happening::Dial { a } => self.dial(a),
             Happening::Dialled { a, up } => self.dialled(a, up),
             Happening::DialTimeout { a } => {
@@ -459,6 +479,9 @@
                 self.hear(node);
             }
             Happening::Join => self.join(),
+            Happening::Kill => self.kill(),
+            Happening::Noticed => self.deal(),
+            Happening::Back => self.back(),
             Happening::Sample => self.sample(),
         }
     }
@@ -495,7 +518,7 @@
             let list = self.register.since(self.now, 0);
             self.tell(g, list);
         }
-        self.by_zone = front(self.script, count);
+        self.deal();
     }
 
     fn give_up(&mut self, n: usize) {
@@ -545,7 +568,13 @@
     // ---- gateways ------------------------------------------------------------------------------------------
 
     fn arrive(&mut self, n: usize) {
-        let Try { place, tries, gateway, until, .. } = self.tries[n];
+        let Try { place, tries, gateway, until, closed, .. } = self.tries[n];
+        if closed {
+            return; // its gateway was killed while it was on its way
+        }
+        if !self.gateways[gateway].alive {
+            return self.lose(n, Seen::Unreachable);
+        }
         let asked = &self.day[place];
         let give_up = until.saturating_sub(AHEAD);
         let (worth, mean) = (self.script.classes[asked.class].worth, self.mean_worth);
@@ -578,6 +607,9 @@
 
     fn decide(&mut self, gateway: usize, event: Event<'_>) {
         let gateway = self.mind_of(gateway);
+        if !self.gateways[gateway].alive {
+            return;
+        }
         let mut actions = std::mem::take(&mut self.actions);
         let began = Instant::now();
         self.gateways[gateway].mind.handle(BEFORE + self.now, event, &mut actions);
@@ -628,7 +660,8 @@
             }
             Action::Fail { request } => self.answer(place_of(request), Seen::Failed),
             Action::Wake { after, token } => {
-                self.at(self.now + after.max(TICK), Happening::Timer { gateway, token });
+                let life = self.gateways[gateway].life;
+                self.at(self.now + after.max(TICK), Happening::Timer { gateway, life, token });
             }
             Action::Probe { host } => {
                 let (outcome, latency) = (Outcome::NotSent, Duration::ZERO);
--- a/crates/rig/src/simulate/register.rs
+++ b/crates/rig/src/simulate/register.rs
@@ -21,6 +21,9 @@
 
     /// A gateway hears the register's word, or that there is none.
     pub(super) fn register_says(&mut self, gateway: usize, list: Option<List>) {
+        if !self.gateways[gateway].alive {
+            return;
+        }
         self.gateways[gateway].watching = list.is_some();
         match list {
             Some(list) => self.tell(gateway, list),
--- a/crates/rig/tests/at_size.rs
+++ b/crates/rig/tests/at_size.rs
@@ -72,3 +72,17 @@
         assert!(service > 0.97, "told {told} times the truth: {service}");
     }
 }
+
+/// What a killed gateway held is for its client to try again: nothing runs twice for it, and those that come back push no cold node
+/// over.
+#[test]
+fn gateways_killed_with_requests_in_hand_break_no_rule() {
+    let text = include_str!("../scripts/killed-in-hand.toml");
+    let (report, _) = simulate(&script(text), 1, None, None).expect("its settings hold");
+    assert!(report.breaches.is_empty(), "{:?}", report.breaches);
+    let calm = text.replace("killed = 70", "killed = 0");
+    let (calm, _) = simulate(&script(&calm), 1, None, None).expect("its settings hold");
+    let (with, without) = (report.service.expect("requests").whole, calm.service.expect("requests").whole);
+    assert!(with < without, "{with} with the kill, {without} without: nothing was killed");
+    assert!(with > 0.8, "{with}");
+}
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -9,9 +9,11 @@
 mod admission;
 mod detector;
 mod knowledge;
+mod memory;
 mod pick;
 
 pub use detector::Cusum;
+pub use memory::{HostMemory, Memory};
 
 use crate::api::{self, Action, Effect, Event, HostId, HostState, Outcome, RequestId, Settings};
 use rustc_hash::FxHashMap;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,4 +26,4 @@
 pub mod wire;
 
 pub use api::*;
-pub use balancer::Balancer;
+pub use balancer::{Balancer, HostMemory, Memory};
