--- a/crates/gateway/tests/day_by_day/main.rs
+++ b/crates/gateway/tests/day_by_day/main.rs
@@ -61,9 +61,12 @@
     for half in held.iter_mut().step_by(2) {
         let _ = half.write_all(b"GET /_re"); // one that had to make room already is gone
     }
+    let before = Instant::now();
     for _ in 0..5 {
         assert_eq!(gateway.call("GET", "/_ready").status(), 200);
     }
+    // Behind all who say nothing it would be six rounds of 3 s.
+    assert!(before.elapsed() < Duration::from_secs(10), "{:?}", before.elapsed());
     let mut long = gateway.caller();
     let _ = long.write_all(&[b'x'; 100_000]);
     ended(&mut long);
@@ -485,6 +488,32 @@
     wait_for("the count", || gateway.figure("router_current") == Some(0));
 }
 
+/// Nothing comes from the host by which the gateway could notice: it looks at the client.
+#[test]
+fn a_client_that_goes_frees_a_host_that_rests() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = listener.local_addr().expect("an address").to_string();
+    let freed = Arc::new(AtomicBool::new(false));
+    let seen = freed.clone();
+    spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let _ = stream.read(&mut [0; 4096]);
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n");
+        let _ = stream.write_all(&[b'x'; 200_000]);
+        let _ = stream.read(&mut [0; 1]);
+        seen.store(true, Ordering::SeqCst);
+        sleep(LONG);
+    });
+    let (gateway, _discovery) = start("rests", &[ottervane_rig::scripted::entry("s-1", &at, 1, "active")]);
+    let mut client = TcpStream::connect(&gateway.address).expect("a connection");
+    client.write_all(request("look").as_bytes()).expect("a request");
+    client.read_exact(&mut vec![0; 150_000]).expect("a beginning");
+    let left = Instant::now();
+    drop(client);
+    wait_for("the host's release", || freed.load(Ordering::SeqCst));
+    assert!(left.elapsed() < Duration::from_secs(9), "after 10 s a host that rests is given up anyway");
+}
+
 #[test]
 fn a_body_that_is_gone_is_not_sent_again_and_one_that_is_not_is() {
     // The host that takes no connection is tried first or not: either way the other one gets the whole body.
