Serve a dropped class while clients may use it, and make room for staff at once

Need: clients turn to new classes 1.2 s after the file, and what they sent by the old ones just before was answered 400 or 405. A class that the settings drop or reword is served for 2 s more, where a request is of its form and not of the new one's (control/classes.rs, http.rs).

Seen in a test that had passed five times: five calls behind sixty silent callers took 18 s. The room that a silent caller makes was looked for before the task of any of them had run and stood in the queue (management.rs), so nobody was told and each kept its 3 s.

A process with no host to send to takes no clients from the one that serves (daemon/mod.rs), for 6 s.

--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -28,13 +28,17 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::spawn_local;
-use tokio::time::{sleep_until, timeout, Instant};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tracing::{error, info};
 
 /// Connections that the kernel holds for us: a burst must find room there.
 const BACKLOG: u32 = 4096;
 /// A process that takes over from another waits so long for news of the hosts; its yes is due within 6 s.
 const FIRST_NEWS: Duration = Duration::from_millis(2500);
+/// With no host that takes work it waits so long for one; then clients are told that there is none.
+const FIRST_HOST: Duration = Duration::from_secs(6);
+/// And looks for one this often.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
 fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
@@ -69,11 +73,12 @@
     }
 
     fn apply(&mut self, config: Config) {
-        self.classes.take(config.named_classes());
+        self.classes.take(self.gateway.time(Instant::now()), config.named_classes());
         let settings = Settings { classes: self.classes.by_number(), ..config.settings };
         self.service.figures.know(&config.classes);
         self.service.longest(longest(&settings));
-        let terms = Terms::new(&self.classes, config.names.tenants.clone(), &settings);
+        let moment = |at| self.gateway.instant(at);
+        let terms = Terms::new(&self.classes, moment, config.names.tenants.clone(), &settings);
         info!(discovery = %config.discovery, classes = config.classes.join(","), attempts = settings.max_attempts, "SIGHUP: the \
             file is in force");
         // The owner of the decisions hears of them ahead of the first request that comes under them.
@@ -116,10 +121,11 @@
     operator.log.begin();
     let config = Config::at_start()?;
     let mut classes = Classes::default();
-    classes.take(config.named_classes());
+    classes.take(Duration::ZERO, config.named_classes());
     let budget = Budget::new(&config.limits, config.management.is_some());
     let settings = Settings { classes: classes.by_number(), ..config.settings };
-    let terms = Terms::new(&classes, config.names.tenants.clone(), &settings);
+    // None leaves at the start.
+    let terms = Terms::new(&classes, |_| Instant::now(), config.names.tenants.clone(), &settings);
     let figures = Rc::new(Figures::default());
     figures.know(&config.classes);
     let pool = Rc::new(Pool::new(
@@ -187,6 +193,13 @@
             }
         }
         service.begin();
+        if shared {
+            // With no host to send to it would only take clients from the process that serves.
+            let since = Instant::now();
+            while !service.can_serve() && since.elapsed() < FIRST_HOST {
+                sleep(LOOK_AGAIN).await;
+            }
+        }
         server.clone().accept(&listener).await;
     };
     tokio::select! {
--- a/crates/gateway/src/listeners/http.rs
+++ b/crates/gateway/src/listeners/http.rs
@@ -156,15 +156,49 @@
 /// What requests may name, and what they are told, by the settings in force.
 pub struct Terms {
     classes: Vec<Rc<Kept>>,
+    /// Classes that are in the settings no more, and until when clients may use them.
+    leaving: Vec<(Rc<Kept>, Instant)>,
     tenants: Vec<String>,
     keep_away: Duration,
 }
 
 impl Terms {
-    /// The terms of these settings.
-    pub fn new(classes: &Classes, tenants: Vec<String>, settings: &Settings) -> Terms {
+    /// The terms of these settings; `moment` tells when a time of the classes is.
+    pub fn new(
+        classes: &Classes,
+        moment: impl Fn(Duration) -> Instant,
+        tenants: Vec<String>,
+        settings: &Settings,
+    ) -> Terms {
         let keep_away = ROOM_AGAIN.min(settings.max_keep_away);
-        Terms { classes: classes.live().cloned().collect(), tenants, keep_away }
+        let leaving = classes.leaving().map(|(kept, until)| (kept.clone(), moment(until))).collect();
+        Terms { classes: classes.live().cloned().collect(), leaving, tenants, keep_away }
+    }
+
+    /// The class that a request comes under: that of the settings, or one that clients may still be using, if the request is of its
+    /// form and not of the other's.
+    fn class(&self, name: &str, method: &Method, keyed: bool) -> Result<&Rc<Kept>, Malformed> {
+        let fits = |kept: &Rc<Kept>| form(kept).1 == keyed && form(kept).0 == *method;
+        let live = self.classes.iter().find(|c| c.name == name);
+        if let Some(kept) = live.filter(|kept| fits(kept)) {
+            return Ok(kept);
+        }
+        let now = Instant::now();
+        let leaving = self.leaving.iter().filter(|(kept, until)| kept.name == name && now < *until);
+        if let Some((kept, _)) = leaving.map(|(kept, until)| (kept, until)).find(|(kept, _)| fits(kept)) {
+            return Ok(kept);
+        }
+        let kept = live.ok_or(Malformed::UnknownClass)?;
+        Err(if form(kept).0 == *method { Malformed::WrongKey } else { Malformed::WrongMethod })
+    }
+}
+
+/// What a request of the class looks like: its method, and whether it carries a key.
+fn form(kept: &Kept) -> (Method, bool) {
+    match kept.class.effect {
+        Effect::Safe => (Method::GET, false),
+        Effect::Keyed { .. } => (Method::POST, true),
+        Effect::Unsafe => (Method::POST, false),
     }
 }
 
@@ -517,26 +551,15 @@
         }
         let name = text(headers, "x-priority-class").ok_or(Malformed::UnknownClass)?;
         let terms = self.terms.borrow().clone();
-        let kept = terms.classes.iter().find(|c| c.name == name).ok_or(Malformed::UnknownClass)?.clone();
-        let class = &kept.class;
         if head.uri.path().split('/').nth(1) != Some(name) {
             return Err(Malformed::WrongPath);
         }
         let keyed = text(headers, "idempotency-key").is_some_and(|k| !k.is_empty());
-        let (method, wants_key) = match class.effect {
-            Effect::Safe => (Method::GET, false),
-            Effect::Keyed { .. } => (Method::POST, true),
-            Effect::Unsafe => (Method::POST, false),
-        };
-        if head.method != method {
-            return Err(Malformed::WrongMethod);
-        }
-        if keyed != wants_key {
-            return Err(Malformed::WrongKey);
-        }
+        let kept = terms.class(name, &head.method, keyed)?.clone();
+        let (class, method) = (&kept.class, &head.method);
         let patience = text(headers, "x-timeout").and_then(patience).ok_or(Malformed::BadTimeout)?;
         let patience = patience.min(class.deadline).saturating_sub(AHEAD);
-        if method == Method::GET && length.is_some_and(|length| length > 0) {
+        if *method == Method::GET && length.is_some_and(|length| length > 0) {
             return Err(Malformed::NeedlessBody);
         }
         let cost = match text(headers, "x-cost") {
@@ -546,7 +569,7 @@
         let tenant = text(headers, "x-tenant-id");
         let tenant = terms.tenants.iter().position(|t| Some(t.as_str()) == tenant).unwrap_or(0);
         let (held, rest) = gather(body, MAX_BODY).await?;
-        if method == Method::GET && !held.is_empty() {
+        if *method == Method::GET && !held.is_empty() {
             return Err(Malformed::NeedlessBody);
         }
         let mut taken = Taken::new(self.service.figures.clone(), kept.clone());
--- a/crates/gateway/src/listeners/management.rs
+++ b/crates/gateway/src/listeners/management.rs
@@ -72,14 +72,21 @@
         failing = false;
         // The newest caller is a descriptor over the reserve for as long as an older one makes room: one turn of the loop.
         let slot = callers.place().await;
-        spawn_local(serve(stream, slot, callers.clone(), service.clone()));
+        // In the queue before the next one is accepted, which may have to look for the oldest at once.
+        let make_room = Rc::new(Notify::new());
+        callers.unanswered.borrow_mut().push_back(make_room.clone());
+        spawn_local(serve(stream, slot, make_room, callers.clone(), service.clone()));
     }
 }
 
-async fn serve(stream: TcpStream, slot: Slot, callers: Rc<Callers>, service: Rc<Service>) {
+async fn serve(
+    stream: TcpStream,
+    slot: Slot,
+    make_room: Rc<Notify>,
+    callers: Rc<Callers>,
+    service: Rc<Service>,
+) {
     let _ = stream.set_nodelay(true);
-    let make_room = Rc::new(Notify::new());
-    callers.unanswered.borrow_mut().push_back(make_room.clone());
     let called = service_fn(|request: Request<Incoming>| {
         let response = respond(&request, &service);
         async move { Ok::<_, Infallible>(response) }
