--- a/crates/gateway/tests/day_by_day/main.rs
+++ b/crates/gateway/tests/day_by_day/main.rs
@@ -846,3 +846,50 @@
     let before = std::fs::read_to_string(&memory).unwrap_or_default();
     wait_for("its own word", || std::fs::read_to_string(&memory).is_ok_and(|text| text != before));
 }
+
+/// What discovery says binds the new process from its yes on, whatever the old one was told; and both live within one small limit.
+#[test]
+fn a_replacement_heeds_drains_and_cold_hosts_with_few_descriptors() {
+    let ok = || ScriptedNode::start(|_| Reply::ok("ok"));
+    let (warm, drained, cold) = (ok(), ok(), ok());
+    let folder = format!("{}/handed-small", env!("CARGO_TARGET_TMPDIR"));
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let known = [warm.entry("s-1", 1), drained.entry("s-2", 1)];
+    let begin = |name: &str, news: &[Value]| {
+        let discovery = ScriptedRegister::start();
+        let mut config = managed(&discovery, &known);
+        config["limits"]["sockets"] = 64.into();
+        let gateway = Gateway::start_sharing(&PROGRAM, name, &discovery, &config, &listener, &folder);
+        discovery.push(json!({"index": 42, "snapshot": true, "endpoints": news}));
+        wait_for("readiness", || gateway.call("GET", "/_ready").status() == 200);
+        (gateway, discovery)
+    };
+    let asked = || ask(&address, &request("look"), None, Duration::ZERO).expect("an answer").status();
+    let (mut old, _old_news) = begin("small-old", &known);
+    for _ in 0..20 {
+        assert_eq!(asked(), 200);
+    }
+    // Clients that rest on most of its places.
+    let mut resting: Vec<TcpStream> =
+        (0..12).map(|_| TcpStream::connect(&address).expect("a connection")).collect();
+    let now =
+        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a clock").as_millis();
+    let mut starting = cold.entry("s-3", 1);
+    starting["since_ms"] = (now as u64).into();
+    let leaving = ottervane_rig::scripted::entry("s-2", &drained.address.to_string(), 1, "leaving");
+    let (new, _new_news) = begin("small-new", &[warm.entry("s-1", 1), leaving, starting]);
+    old.signal("TERM");
+    assert!(old.wait().success());
+    resting.iter_mut().for_each(|stream| drop(stream.shutdown(std::net::Shutdown::Both)));
+    let before = (warm.count(), drained.count(), cold.count());
+    for _ in 0..60 {
+        assert_eq!(asked(), 200);
+    }
+    let (to_warm, to_cold) = (warm.count() - before.0, cold.count() - before.2);
+    assert_eq!(drained.count(), before.1, "nothing new to a host that leaves");
+    assert!(to_cold < to_warm, "{to_cold} to the cold host, {to_warm} to the warm one");
+    assert!(new.figure("router_cluster_unhealthy") >= Some(1), "the one that leaves");
+}
