Decide on bodies, classes and entry in control, and leave a host that takes no more

Need: when an answer is passed on, when a body is too slow, which class a request comes under and when a new process takes clients were decided in upstream, exchange.rs, http.rs and daemon/mod.rs, where no test reaches them without sockets. Reading them again showed that nothing limits a host that stops taking a body: its request was held for UPLOAD, 1,100 s (exchange, until).

The decisions stand in control now (bodies, classes::Offer, handover::Entry), with tables and properties. Of two classes that left under one name the older was chosen; a property found it. A host that takes nothing for 10 s is left and its request refused, for it has not come whole.

--- a/crates/control/src/classes.rs
+++ b/crates/control/src/classes.rs
@@ -3,7 +3,7 @@
 //! The decision module knows a class by its number. A number may pass to another class only once nobody holds the old one any
 //! more: a request keeps the rules that it came under to its end, and an attempt's end is booked under its class.
 
-use ottervane::Class;
+use ottervane::{Class, Effect};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,6 +22,62 @@
     pub class: Class,
 }
 
+/// What a request looks like, as far as its class shows in it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Form {
+    /// It may change something: HTTP's POST, else GET.
+    pub writes: bool,
+    /// It carries a key by which a repeat is known.
+    pub keyed: bool,
+}
+
+impl Form {
+    /// That of the requests of a class.
+    pub fn of(class: &Class) -> Form {
+        match class.effect {
+            Effect::Safe => Form { writes: false, keyed: false },
+            Effect::Keyed { .. } => Form { writes: true, keyed: true },
+            Effect::Unsafe => Form { writes: true, keyed: false },
+        }
+    }
+}
+
+/// Why a request comes under no class.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoClass {
+    /// None has this name.
+    Unknown,
+    /// The one that has it reads where the request writes, or the other way round.
+    Method,
+    /// The one that has it wants a key, or none.
+    Key,
+}
+
+/// The classes that requests may name under one file of settings, and those that clients may still be using.
+#[derive(Clone, Debug)]
+pub struct Offer {
+    live: Vec<Rc<Kept>>,
+    leaving: Vec<(Rc<Kept>, Duration)>,
+}
+
+impl Offer {
+    /// The class that a request comes under: that of the settings, or one that clients may still be using, where the request is of its
+    /// form and not of the other's.
+    ///
+    /// # Errors
+    /// Why there is none.
+    pub fn choose(&self, now: Duration, name: &str, form: Form) -> Result<&Rc<Kept>, NoClass> {
+        let fits = |kept: &&Rc<Kept>| kept.name == name && Form::of(&kept.class) == form;
+        // Of two that have left under one name, the later one is what clients use.
+        let leaving = self.leaving.iter().rev().filter(|(_, until)| now < *until).map(|(kept, _)| kept);
+        if let Some(kept) = self.live.iter().chain(leaving).find(fits) {
+            return Ok(kept);
+        }
+        let named = self.live.iter().find(|kept| kept.name == name).ok_or(NoClass::Unknown)?;
+        Err(if Form::of(&named.class).writes == form.writes { NoClass::Key } else { NoClass::Method })
+    }
+}
+
 /// All classes that are in the settings, or held by somebody still.
 #[derive(Debug, Default)]
 pub struct Classes {
@@ -57,14 +113,15 @@
         }
     }
 
-    /// The classes that requests may name now.
+    /// Those that are in the settings.
     pub fn live(&self) -> impl Iterator<Item = &Rc<Kept>> {
         self.slots.iter().filter(|(_, live)| *live).map(|(kept, _)| kept)
     }
 
-    /// Those that clients may still be using, each with when that ends.
-    pub fn leaving(&self) -> impl Iterator<Item = (&Rc<Kept>, Duration)> {
-        self.leaving.iter().map(|(kept, since)| (kept, *since + GRACE))
+    /// What requests may name from now on.
+    pub fn offer(&self) -> Offer {
+        let leaving = self.leaving.iter().map(|(kept, since)| (kept.clone(), *since + GRACE)).collect();
+        Offer { live: self.live().cloned().collect(), leaving }
     }
 
     /// The rules by number, as the decision module wants them: those that have left the settings are marked.
--- a/crates/control/src/handover.rs
+++ b/crates/control/src/handover.rs
@@ -96,3 +96,39 @@
         memory.hosts.push(host);
     }
 }
+
+/// A process that takes over from another waits so long for news of the hosts; its yes is due within 6 s.
+const FIRST_NEWS: Duration = Duration::from_millis(2500);
+/// With no host that takes work it waits so long for one; then clients are told that there is none.
+const FIRST_HOST: Duration = Duration::from_secs(6);
+
+/// What a process that does not serve yet waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Awaited {
+    /// Discovery's first word: what another process was told of drains binds this one too, so nobody is taken in on a list that
+    /// may be old, unless there is no other to be had.
+    Discovery,
+    /// A host that takes work: without one it would only take clients from the process that serves.
+    Hosts,
+}
+
+/// How a process begins to serve.
+#[derive(Clone, Copy, Debug)]
+pub struct Entry {
+    /// Another process may serve on the same listener.
+    pub shared: bool,
+    /// When this one started.
+    pub since: Duration,
+}
+
+impl Entry {
+    /// What it waits for now, if anything. One with a listener of its own waits for nothing: there is nobody else to ask.
+    pub fn awaits(&self, now: Duration, heard: bool, hosts_up: bool) -> Option<Awaited> {
+        let waited = now.saturating_sub(self.since);
+        match (self.shared, heard, hosts_up) {
+            (true, false, _) if waited < FIRST_NEWS => Some(Awaited::Discovery),
+            (true, _, false) if waited < FIRST_HOST => Some(Awaited::Hosts),
+            _ => None,
+        }
+    }
+}
--- a/crates/control/tests/classes.rs
+++ b/crates/control/tests/classes.rs
@@ -1,11 +1,13 @@
 //! Classes come and go while requests hold on to theirs.
 
 use ottervane::{Class, Effect};
-use ottervane_control::classes::{Classes, Kept, GRACE};
+use ottervane_control::classes::{Classes, Form, Kept, NoClass, GRACE};
 use proptest::prelude::*;
 use std::rc::Rc;
 use std::time::Duration;
 
+const READ: Form = Form { writes: false, keyed: false };
+const WRITE: Form = Form { writes: true, keyed: false };
 const NOW: Duration = Duration::from_secs(100);
 
 fn class(aim: u64, effect: Effect) -> Class {
@@ -46,6 +48,7 @@
     ) {
         let mut classes = Classes::default();
         let mut held: Vec<Rc<Kept>> = Vec::new();
+        let mut before = std::collections::BTreeMap::<String, u64>::new();
         for (n, (file, hold)) in files.iter().zip(&hold).enumerate() {
             let now = NOW + Duration::from_millis(700 * n as u64);
             classes.take(now, file.iter().map(|(name, aim)| (name.clone(), class(*aim, Effect::Safe))));
@@ -63,10 +66,41 @@
             held.drain(..over);
             // Four live, six held, and three files' worth that clients may still use.
             prop_assert!(rules.len() <= 4 + 6 + 4 * 4, "{} numbers", rules.len());
-            for (kept, until) in classes.leaving() {
-                prop_assert!(until > now && until <= now + GRACE);
+            // Whatever was named a moment ago is still served by the rules it had, and some time later no more.
+            let offer = classes.offer();
+            for (name, aim) in before.iter().filter(|(name, _)| !file.contains_key(name.as_str())) {
+                let kept = offer.choose(now, name, READ).expect("clients may still use it");
+                prop_assert_eq!(kept.class.aim, Duration::from_millis(*aim));
                 prop_assert_eq!(&rules[kept.number].aim, &kept.class.aim, "{:?} has lost its number", kept);
+                prop_assert_eq!(offer.choose(now + GRACE, name, READ).err(), Some(NoClass::Unknown));
             }
+            before = file.clone();
         }
     }
 }
+
+#[test]
+fn a_request_comes_under_the_rules_that_it_was_made_for() {
+    let mut classes = Classes::default();
+    classes.take(
+        NOW,
+        [("pay".to_owned(), class(300, Effect::Safe)), ("look".to_owned(), class(100, Effect::Safe))],
+    );
+    let later = NOW + GRACE / 2;
+    classes.take(later, [("pay".to_owned(), class(300, Effect::Unsafe))]);
+    let offer = classes.offer();
+    let effect = |now, name, form| offer.choose(now, name, form).map(|kept| kept.class.effect);
+    let end = later + GRACE;
+    assert_eq!(effect(later, "pay", WRITE), Ok(Effect::Unsafe), "by the new rules at once");
+    assert_eq!(effect(later, "pay", READ), Ok(Effect::Safe), "and by the old ones for a while");
+    assert_eq!(effect(later, "look", READ), Ok(Effect::Safe));
+    assert_eq!(effect(end, "pay", READ), Err(NoClass::Method));
+    assert_eq!(effect(end, "look", READ), Err(NoClass::Unknown));
+    assert_eq!(effect(later, "pay", Form { writes: true, keyed: true }), Err(NoClass::Key));
+    assert_eq!(effect(later, "nobody", READ), Err(NoClass::Unknown));
+    // A file that changes nothing more, a moment later, does not end it; one after its time does.
+    classes.take(later + GRACE / 2, [("pay".to_owned(), class(300, Effect::Unsafe))]);
+    assert!(classes.offer().choose(end - Duration::from_millis(1), "look", READ).is_ok());
+    classes.take(end, [("pay".to_owned(), class(300, Effect::Unsafe))]);
+    assert_eq!(classes.offer().choose(end, "look", READ).err(), Some(NoClass::Unknown));
+}
--- a/crates/control/tests/handover.rs
+++ b/crates/control/tests/handover.rs
@@ -1,7 +1,7 @@
 //! What one process writes is read back by the next, whole or not at all.
 
 use ottervane::{HostMemory, Memory};
-use ottervane_control::handover::{read, write, Unfit, LONGEST, OLDEST};
+use ottervane_control::handover::{read, write, Awaited, Entry, Unfit, LONGEST, OLDEST};
 use proptest::prelude::*;
 use std::time::Duration;
 
@@ -65,3 +65,27 @@
     assert_eq!(read(&(text.clone() + "host 1 1\n"), NOW), Err(Unfit::Torn));
     assert_eq!(read(&"x".repeat(LONGEST + 1), NOW), Err(Unfit::Long));
 }
+
+#[test]
+fn a_process_takes_clients_once_it_can_serve_them_or_there_is_nobody_better() {
+    let ms = Duration::from_millis;
+    let entry = Entry { shared: true, since: NOW };
+    let cases = [
+        (0, false, true, Some(Awaited::Discovery)),
+        (2499, false, true, Some(Awaited::Discovery)),
+        (2500, false, true, None),
+        (10, true, true, None),
+        (10, true, false, Some(Awaited::Hosts)),
+        (2500, false, false, Some(Awaited::Hosts)),
+        (5999, true, false, Some(Awaited::Hosts)),
+        (6000, false, false, None),
+    ];
+    for (after, heard, hosts, awaited) in cases {
+        assert_eq!(
+            entry.awaits(NOW + ms(after), heard, hosts),
+            awaited,
+            "{after} ms, heard {heard}, hosts {hosts}"
+        );
+        assert_eq!(Entry { shared: false, ..entry }.awaits(NOW + ms(after), heard, hosts), None);
+    }
+}
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -98,7 +98,7 @@
             }
             Stage::Started { answer, first, load } => {
                 let latency = first.saturating_duration_since(self.sent.get());
-                Message::Started { request, attempt, latency, answer, load }
+                Message::Started { request, attempt, latency, answer: *answer, load }
             }
         });
     }
--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -77,8 +77,7 @@
         let settings = Settings { classes: self.classes.by_number(), ..config.settings };
         self.service.figures.know(&config.classes);
         self.service.longest(longest(&settings));
-        let moment = |at| self.gateway.instant(at);
-        let terms = Terms::new(&self.classes, moment, config.names.tenants.clone(), &settings);
+        let terms = Terms::new(&self.classes, config.names.tenants.clone(), &settings);
         info!(discovery = %config.discovery, classes = config.classes.join(","), attempts = settings.max_attempts, "SIGHUP: the \
             file is in force");
         // The owner of the decisions hears of them ahead of the first request that comes under them.
@@ -124,8 +123,7 @@
     classes.take(Duration::ZERO, config.named_classes());
     let budget = Budget::new(&config.limits, config.management.is_some());
     let settings = Settings { classes: classes.by_number(), ..config.settings };
-    // None leaves at the start.
-    let terms = Terms::new(&classes, |_| Instant::now(), config.names.tenants.clone(), &settings);
+    let terms = Terms::new(&classes, config.names.tenants.clone(), &settings);
     let figures = Rc::new(Figures::default());
     figures.know(&config.classes);
     let pool = Rc::new(Pool::new(
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,30 +4,21 @@
 //! the slower side sets the pace. Neither the listeners nor what sends on need to know which it is: both have a body to poll.
 
 use crate::figures::{Ending, Taken};
-use crate::limits::MAX_LARGE;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::HeaderMap;
 use hyper::{Method, Uri};
-use std::cell::{Cell, RefCell};
+use ottervane_control::bodies::{Fault, Passage, Transit};
+use std::any::Any;
+use std::cell::RefCell;
 use std::future::{poll_fn, Future};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout, Instant, Sleep};
-
-/// A body comes at this rate at least, in bytes a second, once this time has passed: half of what slow clients are owed.
-const RATE: f64 = 32e3;
-/// See [`RATE`].
-const SPARE: Duration = Duration::from_millis(1500);
-
-/// By when a body must have brought so much.
-pub fn due(since: Instant, brought: u64) -> Instant {
-    since + SPARE + Duration::from_secs_f64(brought as f64 / RATE)
-}
+use tokio::time::{sleep, timeout, timeout_at, Instant, Sleep};
 
 /// A client's request, as it goes on to a host.
 #[derive(Debug)]
@@ -57,20 +48,6 @@
     }
 }
 
-/// How a body that is not held stands.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Passage {
-    /// Nothing of it has gone to a host.
-    #[default]
-    Intact,
-    /// Some of it has.
-    Spent,
-    /// All of it has.
-    Complete,
-    /// It came too slowly, broke off, or is too long.
-    Failed,
-}
-
 /// A request's body that passes through while it comes.
 #[derive(Debug)]
 pub struct Upload {
@@ -79,33 +56,21 @@
     rest: RefCell<Incoming>,
     /// How long it says it is.
     length: Option<u64>,
-    passage: Cell<Passage>,
-    brought: Cell<u64>,
-    most: u64,
+    /// Since when its times count.
+    start: Instant,
+    transit: RefCell<Transit>,
     /// How long the client waits, from its last byte on.
     pub patience: Duration,
     /// Counts the request as taken, from its last byte on.
     taken: RefCell<Option<Taken>>,
 }
 
-/// Why a body that passes through has no end.
-#[derive(Debug, thiserror::Error)]
-pub enum Broken {
-    /// Its sender has stopped, or gone.
-    #[error("the body has not come whole")]
-    Off,
-    /// It is longer than any may be.
-    #[error("the body is too long")]
-    TooLong,
-}
-
 impl Upload {
     /// A body of which `held` has come.
     pub fn new(held: Bytes, rest: Incoming, length: Option<u64>, patience: Duration, taken: Taken) -> Upload {
-        let brought = Cell::new(held.len() as u64);
-        let (held, rest, passage) = (RefCell::new(Some(held)), RefCell::new(rest), Cell::default());
-        let (most, taken) = (MAX_LARGE, RefCell::new(Some(taken)));
-        Upload { held, rest, length, passage, brought, most, patience, taken }
+        let transit = RefCell::new(Transit::new(held.len() as u64));
+        let (held, rest, taken) = (RefCell::new(Some(held)), RefCell::new(rest), RefCell::new(Some(taken)));
+        Upload { held, rest, length, start: Instant::now(), transit, patience, taken }
     }
 
     /// What counts the request, for whoever ends it.
@@ -116,7 +81,7 @@
     /// Takes the rest and lets it go, for at most this long: a client that writes is not cut off before it has read
     /// that its request is over.
     pub async fn discard(&self, most: Duration) {
-        if self.passage.get() == Passage::Complete {
+        if self.passage() == Passage::Complete {
             return;
         }
         let rest = poll_fn(|cx| loop {
@@ -131,42 +96,37 @@
 
     /// How it stands.
     pub fn passage(&self) -> Passage {
-        self.passage.get()
+        self.transit.borrow().passage()
     }
 
-    fn poll(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
-        if self.passage.get() == Passage::Intact {
-            self.passage.set(Passage::Spent);
-        }
+    /// By when its host must take more of it, where that is waited for.
+    pub fn host_due(&self) -> Option<Instant> {
+        Some(self.start + self.transit.borrow().host_due()?)
+    }
+
+    fn poll(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Fault>>> {
+        let now = self.start.elapsed();
+        let mut transit = self.transit.borrow_mut();
+        transit.wanted(now);
         if let Some(held) = self.held.take() {
             return Poll::Ready(Some(Ok(held)));
         }
         loop {
-            let frame = ready!(Pin::new(&mut *self.rest.borrow_mut()).poll_frame(cx));
-            let data = match frame {
+            let data = match ready!(Pin::new(&mut *self.rest.borrow_mut()).poll_frame(cx)) {
                 None => {
-                    self.passage.set(Passage::Complete);
+                    transit.ended();
                     if let Some(taken) = &mut *self.taken.borrow_mut() {
                         taken.open();
                     }
                     return Poll::Ready(None);
                 }
-                Some(Err(_)) => return Poll::Ready(Some(Err(self.fail(Broken::Off)))),
+                Some(Err(_)) => return Poll::Ready(Some(Err(transit.fail(Fault::Off)))),
                 Some(Ok(frame)) => frame.into_data(),
             };
             let Ok(data) = data else { continue }; // trailers are the client's connection's own
-            self.brought.set(self.brought.get() + data.len() as u64);
-            if self.brought.get() > self.most {
-                return Poll::Ready(Some(Err(self.fail(Broken::TooLong))));
-            }
-            return Poll::Ready(Some(Ok(data)));
+            return Poll::Ready(Some(transit.came(now, data.len() as u64).map(|()| data)));
         }
     }
-
-    fn fail(&self, why: Broken) -> Broken {
-        self.passage.set(Passage::Failed);
-        why
-    }
 }
 
 /// A request's body as it is written to a host.
@@ -177,23 +137,24 @@
     Coming {
         /// The body.
         upload: Rc<Upload>,
-        /// How long the client has been waited for.
-        waited: Duration,
-        /// Since when it is waited for.
-        since: Option<Instant>,
         /// When its next piece is due.
         due: Pin<Box<Sleep>>,
     },
 }
 
+/// The next frame of a body that is held whole: all of it, then none.
+fn held_frame<E>(held: &mut Bytes) -> Poll<Option<Result<Frame<Bytes>, E>>> {
+    let held = std::mem::take(held);
+    Poll::Ready((!held.is_empty()).then(|| Ok(Frame::data(held))))
+}
+
 impl Sending {
     /// What goes to a host of this body.
     pub fn new(payload: &Payload) -> Sending {
         match payload {
             Payload::Whole(bytes) => Sending::Whole(bytes.clone()),
             Payload::Coming(upload) => {
-                let (waited, since) = Default::default();
-                Sending::Coming { upload: upload.clone(), waited, since, due: Box::pin(sleep(SPARE)) }
+                Sending::Coming { upload: upload.clone(), due: Box::pin(sleep(Duration::ZERO)) }
             }
         }
     }
@@ -201,28 +162,25 @@
 
 impl Body for Sending {
     type Data = Bytes;
-    type Error = Broken;
+    type Error = Fault;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
         match &mut *self {
-            Sending::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
-            Sending::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
-            Sending::Coming { upload, waited, since, due: timer } => {
+            Sending::Whole(bytes) => held_frame(bytes),
+            Sending::Coming { upload, due } => {
                 if let Poll::Ready(piece) = upload.poll(cx) {
-                    *waited += since.take().map_or(Duration::ZERO, |since| since.elapsed());
                     return Poll::Ready(piece.map(|piece| piece.map(Frame::data)));
                 }
-                // Only what waits for the client counts: a host that takes it slowly sets the pace as well.
-                if since.is_none() {
-                    let now = Instant::now();
-                    *since = Some(now);
-                    timer.as_mut().reset(due(now, upload.brought.get()) - *waited);
+                let mut transit = upload.transit.borrow_mut();
+                let at = upload.start + transit.await_client(upload.start.elapsed());
+                if due.deadline() != at {
+                    due.as_mut().reset(at);
                 }
-                ready!(timer.as_mut().poll(cx));
-                Poll::Ready(Some(Err(upload.fail(Broken::Off))))
+                ready!(due.as_mut().poll(cx));
+                Poll::Ready(Some(Err(transit.fail(Fault::Off))))
             }
         }
     }
@@ -274,47 +232,41 @@
         over: bool,
         /// Counts the request until then.
         taken: Option<Taken>,
+        /// Whatever has to last as long as the body does.
+        guard: Option<Box<dyn Any>>,
     },
 }
 
 impl Body for Reply {
     type Data = Bytes;
-    type Error = Broken;
+    type Error = Fault;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
         match &mut *self {
-            Reply::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
-            Reply::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Reply::Whole(bytes) => held_frame(bytes),
             Reply::Coming { over: true, .. } => Poll::Ready(None),
-            Reply::Coming { left, pieces, over, taken } => match ready!(pieces.poll_recv(cx)) {
-                Some(Piece::Data(data)) => {
-                    *left = left.map(|left| left.saturating_sub(data.len() as u64));
-                    // Where the length is known, nobody asks for the end.
-                    if *left == Some(0) {
-                        *over = true;
-                        if let Some(taken) = taken.take() {
-                            taken.ended(Ending::Answered);
-                        }
+            Reply::Coming { left, pieces, over, taken, .. } => {
+                let (frame, ending) = match ready!(pieces.poll_recv(cx)) {
+                    Some(Piece::Data(data)) => {
+                        *left = left.map(|left| left.saturating_sub(data.len() as u64));
+                        // Where the length is known, nobody asks for the end.
+                        let ending = (*left == Some(0)).then_some(Ending::Answered);
+                        (Some(Ok(Frame::data(data))), ending)
                     }
-                    Poll::Ready(Some(Ok(Frame::data(data))))
-                }
-                Some(Piece::End) => {
+                    Some(Piece::End) => (None, Some(Ending::Answered)),
+                    None => (Some(Err(Fault::Off)), Some(Ending::Errored)),
+                };
+                if let Some(ending) = ending {
                     *over = true;
                     if let Some(taken) = taken.take() {
-                        taken.ended(Ending::Answered);
-                    }
-                    Poll::Ready(None)
-                }
-                None => {
-                    if let Some(taken) = taken.take() {
-                        taken.ended(Ending::Errored);
+                        taken.ended(ending);
                     }
-                    Poll::Ready(Some(Err(Broken::Off)))
                 }
-            },
+                Poll::Ready(frame)
+            }
         }
     }
 
@@ -337,34 +289,32 @@
 ///
 /// # Errors
 /// Where it does not come in time.
-pub async fn gather(mut body: Incoming, most: usize) -> Result<(Bytes, Option<Incoming>), Broken> {
-    let since = Instant::now();
-    let mut held: Option<Bytes> = None;
-    let mut grown = Vec::new();
-    loop {
-        let brought = held.as_ref().map_or(0, Bytes::len) + grown.len();
-        if brought > most {
-            break;
-        }
-        let frame = tokio::time::timeout_at(due(since, brought as u64), body.frame());
-        let frame = frame.await.map_err(|_| Broken::Off)?;
+pub async fn gather(mut body: Incoming, most: usize) -> Result<(Bytes, Option<Incoming>), Fault> {
+    let (start, mut transit) = (Instant::now(), Transit::default());
+    let (mut held, mut grown) = (Bytes::new(), BytesMut::new());
+    while held.len() + grown.len() <= most {
+        let due = start + transit.await_client(start.elapsed());
+        let frame = timeout_at(due, body.frame()).await.map_err(|_| Fault::Off)?;
         let Some(frame) = frame else {
             return Ok((joined(held, grown), None));
         };
-        let Ok(data) = frame.map_err(|_| Broken::Off)?.into_data() else { continue };
+        let Ok(data) = frame.map_err(|_| Fault::Off)?.into_data() else { continue };
+        transit.came(start.elapsed(), data.len() as u64)?;
         // The usual body is one piece, and is not copied.
-        match (&held, grown.is_empty()) {
-            (None, true) => held = Some(data),
-            (Some(first), true) => grown = [&first[..], &data[..]].concat(),
-            _ => grown.extend_from_slice(&data),
-        }
-        if !grown.is_empty() {
-            held = None;
+        if held.is_empty() && grown.is_empty() {
+            held = data;
+        } else {
+            grown.extend_from_slice(&std::mem::take(&mut held));
+            grown.extend_from_slice(&data);
         }
     }
     Ok((joined(held, grown), Some(body)))
 }
 
-fn joined(held: Option<Bytes>, grown: Vec<u8>) -> Bytes {
-    held.unwrap_or_else(|| grown.into())
+fn joined(held: Bytes, grown: BytesMut) -> Bytes {
+    if grown.is_empty() {
+        held
+    } else {
+        grown.freeze()
+    }
 }
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -2,10 +2,7 @@
 
 use serde::Deserialize;
 
-/// The longest body that is held whole: it can be sent again, and a spoilt one is found out.
-pub const MAX_BODY: usize = 64 << 10;
-/// The longest body that either side may send.
-pub const MAX_LARGE: u64 = 32 << 20;
+pub use ottervane_control::bodies::{HELD as MAX_BODY, MOST as MAX_LARGE};
 /// The most that is read ahead of a head or body on one connection.
 pub const MAX_BUFFER: usize = 32 << 10;
 
--- a/crates/gateway/src/listeners/http.rs
+++ b/crates/gateway/src/listeners/http.rs
@@ -2,28 +2,29 @@
 
 use crate::core::messages::{Arrival, Final, Handle, Message};
 use crate::daemon::service::Service;
-use crate::exchange::{gather, Answer, Broken, Forward, Passage, Payload, Reply, Upload};
+use crate::exchange::{gather, Answer, Forward, Payload, Reply, Upload};
 use crate::figures::{Ending, Taken};
 use crate::framing::Framing;
 use crate::limits::{MAX_BODY, MAX_BUFFER, MAX_LARGE};
 use crate::sockets::{Budget, Slot, Slots};
 use crate::wire::{Marks, Wire};
 use bytes::Bytes;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use ottervane::{stable_hash, Effect, RequestId, Settings};
-use ottervane_control::classes::{Classes, Kept};
+use ottervane::{stable_hash, RequestId, Settings};
+use ottervane_control::bodies::{Fault, Passage};
+use ottervane_control::classes::{Classes, Form, NoClass, Offer};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use std::pin::{pin, Pin};
+use std::pin::pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, Notify};
@@ -116,11 +117,21 @@
     NoBody,
 }
 
-impl From<Broken> for Malformed {
-    fn from(broken: Broken) -> Malformed {
-        match broken {
-            Broken::Off => Malformed::NoBody,
-            Broken::TooLong => Malformed::TooLong,
+impl From<Fault> for Malformed {
+    fn from(fault: Fault) -> Malformed {
+        match fault {
+            Fault::Off => Malformed::NoBody,
+            Fault::Long => Malformed::TooLong,
+        }
+    }
+}
+
+impl From<NoClass> for Malformed {
+    fn from(why: NoClass) -> Malformed {
+        match why {
+            NoClass::Unknown => Malformed::UnknownClass,
+            NoClass::Method => Malformed::WrongMethod,
+            NoClass::Key => Malformed::WrongKey,
         }
     }
 }
@@ -155,50 +166,15 @@
 
 /// What requests may name, and what they are told, by the settings in force.
 pub struct Terms {
-    classes: Vec<Rc<Kept>>,
-    /// Classes that are in the settings no more, and until when clients may use them.
-    leaving: Vec<(Rc<Kept>, Instant)>,
+    classes: Offer,
     tenants: Vec<String>,
     keep_away: Duration,
 }
 
 impl Terms {
-    /// The terms of these settings; `moment` tells when a time of the classes is.
-    pub fn new(
-        classes: &Classes,
-        moment: impl Fn(Duration) -> Instant,
-        tenants: Vec<String>,
-        settings: &Settings,
-    ) -> Terms {
-        let keep_away = ROOM_AGAIN.min(settings.max_keep_away);
-        let leaving = classes.leaving().map(|(kept, until)| (kept.clone(), moment(until))).collect();
-        Terms { classes: classes.live().cloned().collect(), leaving, tenants, keep_away }
-    }
-
-    /// The class that a request comes under: that of the settings, or one that clients may still be using, if the request is of its
-    /// form and not of the other's.
-    fn class(&self, name: &str, method: &Method, keyed: bool) -> Result<&Rc<Kept>, Malformed> {
-        let fits = |kept: &Rc<Kept>| form(kept).1 == keyed && form(kept).0 == *method;
-        let live = self.classes.iter().find(|c| c.name == name);
-        if let Some(kept) = live.filter(|kept| fits(kept)) {
-            return Ok(kept);
-        }
-        let now = Instant::now();
-        let leaving = self.leaving.iter().filter(|(kept, until)| kept.name == name && now < *until);
-        if let Some((kept, _)) = leaving.map(|(kept, until)| (kept, until)).find(|(kept, _)| fits(kept)) {
-            return Ok(kept);
-        }
-        let kept = live.ok_or(Malformed::UnknownClass)?;
-        Err(if form(kept).0 == *method { Malformed::WrongKey } else { Malformed::WrongMethod })
-    }
-}
-
-/// What a request of the class looks like: its method, and whether it carries a key.
-fn form(kept: &Kept) -> (Method, bool) {
-    match kept.class.effect {
-        Effect::Safe => (Method::GET, false),
-        Effect::Keyed { .. } => (Method::POST, true),
-        Effect::Unsafe => (Method::POST, false),
+    /// The terms of these settings.
+    pub fn new(classes: &Classes, tenants: Vec<String>, settings: &Settings) -> Terms {
+        Terms { classes: classes.offer(), tenants, keep_away: ROOM_AGAIN.min(settings.max_keep_away) }
     }
 }
 
@@ -386,12 +362,11 @@
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
                 let rests = !response.headers().contains_key(header::CONNECTION);
-                // What passes through keeps its connection in use until it is over.
+                // What passes through keeps its connection in use until it is over; anything else is on its way at once.
                 let resting = Resting { server: server.clone(), peer: peer.clone(), rests };
-                let response = response.map(|reply| match reply {
-                    Reply::Whole(_) => Outgoing { reply, _resting: None },
-                    Reply::Coming { .. } => Outgoing { reply, _resting: Some(resting) },
-                });
+                if let Reply::Coming { guard, .. } = response.body_mut() {
+                    *guard = Some(Box::new(resting));
+                }
                 Ok::<_, Infallible>(response)
             }
         });
@@ -555,8 +530,13 @@
             return Err(Malformed::WrongPath);
         }
         let keyed = text(headers, "idempotency-key").is_some_and(|k| !k.is_empty());
-        let kept = terms.class(name, &head.method, keyed)?.clone();
-        let (class, method) = (&kept.class, &head.method);
+        let method = &head.method;
+        if *method != Method::GET && *method != Method::POST {
+            return Err(Malformed::WrongMethod);
+        }
+        let form = Form { writes: *method == Method::POST, keyed };
+        let kept = terms.classes.choose(self.gateway.time(Instant::now()), name, form)?.clone();
+        let class = &kept.class;
         let patience = text(headers, "x-timeout").and_then(patience).ok_or(Malformed::BadTimeout)?;
         let patience = patience.min(class.deadline).saturating_sub(AHEAD);
         if *method == Method::GET && length.is_some_and(|length| length > 0) {
@@ -635,8 +615,8 @@
         }
         // The client writes on, and reads that it is over once it has ended, or has no more to say.
         spawn_local(async move { upload.discard(DISCARD).await });
-        if passage == Passage::Failed {
-            return Err(Malformed::NoBody);
+        if let Passage::Failed(fault) = passage {
+            return Err(fault.into());
         }
         Ok(Answered { close: true, ..Answered::new(decided, taken) })
     }
@@ -662,32 +642,6 @@
     }
 }
 
-/// An answer on its way to the client.
-struct Outgoing {
-    reply: Reply,
-    _resting: Option<Resting>,
-}
-
-impl Body for Outgoing {
-    type Data = Bytes;
-    type Error = Broken;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
-        Pin::new(&mut self.reply).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.reply.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.reply.size_hint()
-    }
-}
-
 /// Notes that a connection rests, once the answer that is being passed on over it is over.
 struct Resting {
     server: Rc<Server>,
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -1,6 +1,6 @@
 //! Connections to hosts: one attempt at a time on each, every attempt counted, every end told apart.
 
-use crate::exchange::{Answer, Forward, Passage, Payload, Piece, Reply, Sending};
+use crate::exchange::{Answer, Forward, Payload, Piece, Reply, Sending};
 use crate::figures::Figures;
 use crate::limits::{MAX_BODY, MAX_BUFFER, MAX_LARGE};
 use crate::sockets::{Slot, Slots};
@@ -16,6 +16,7 @@
 use hyper_util::rt::TokioIo;
 use ottervane::report::ReportFields;
 use ottervane::{HostId, LoadReport, Outcome};
+use ottervane_control::bodies::{Intake, Passage, Verdict, STALL};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::future::{poll_fn, Future};
@@ -31,16 +32,6 @@
 use tokio::sync::{mpsc, Notify};
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
-/// An answer that is held until it is whole may be silent for so long. What keeps the connection open after noise, or
-/// after less than it promised, would hold its request until that times out, too late for another try.
-const ANSWER: Duration = Duration::from_millis(100);
-/// One that says it is longer than what is held is passed on so long after its body began to come, if it comes still ...
-const FLOWS: Duration = Duration::from_millis(40);
-/// ... and one that does not say how long it is, after this time and so many bytes: of a short one all would be there.
-const TRICKLES: Duration = Duration::from_millis(60);
-const MUCH: usize = 4 << 10;
-/// Neither side of an answer that is passed on may rest for so long.
-const STALL: Duration = Duration::from_secs(10);
 /// A connection rests for so long between two requests: what a host sends beyond an answer comes right behind it, and
 /// must not be read as the answer to the next.
 const REST: Duration = Duration::from_millis(2);
@@ -142,7 +133,7 @@
     /// The answer is passed on while it comes.
     Started {
         /// The answer.
-        answer: Answer,
+        answer: Box<Answer>,
         /// When its first byte came.
         first: Instant,
         /// The load report that came with it.
@@ -370,6 +361,7 @@
         connection.marks.flushed.set(false);
         connection.marks.read_since.set(None);
         sent.set(true);
+        let begun = Instant::now();
         let sending = connection.sender.send_request(request);
         let answering = async {
             let (head, body) = sending.await?.into_parts();
@@ -401,21 +393,30 @@
             if let Poll::Ready(answered) = answering.as_mut().poll(cx) {
                 return Poll::Ready(Some(answered));
             }
+            // A host that takes no more of a body that is not held has never had it whole.
+            if let (Payload::Coming(upload), None) = (&forward.body, connection.marks.read_since.get()) {
+                let Some(due) = upload.host_due() else { return Poll::Pending };
+                if late.deadline() != due {
+                    late.as_mut().reset(due);
+                }
+                return late.as_mut().poll(cx).map(|()| None);
+            }
             if informed.swap(false, Ordering::Relaxed) {
                 connection.marks.read_since.set(None); // a 1xx: the answer itself has not begun
             }
             let Some(since) = connection.marks.read_since.get() else { return Poll::Pending };
-            let silent = connection.marks.last_read.get().map_or(since, |last| last.max(since)) + ANSWER;
+            let last = connection.marks.last_read.get().unwrap_or(since);
+            let silent = begun + Intake::due(since - begun, last.saturating_duration_since(begun));
             if late.deadline() != silent {
                 late.as_mut().reset(silent);
             }
             late.as_mut().poll(cx).map(|()| None)
         })
         .await;
-        let answered = answered.ok_or(Outcome::Reset)?;
         // What has not been written whole has never run: a host begins with the last byte.
         let unwritten = !connection.marks.written.get() || passage != Passage::Complete;
         let broken = if unwritten { Outcome::NoConnection } else { Outcome::Reset };
+        let answered = answered.ok_or(broken)?;
         let (head, body) = answered.map_err(|_| broken)?;
         // Said twice it is no report: nothing tells which of the two is the host's.
         let mut reports = head.headers.get_all(LOAD).iter();
@@ -472,8 +473,8 @@
         let (pieces, receiver) = mpsc::channel(1);
         let mut brought = held.len() as u64;
         let _ = pieces.try_send(Piece::Data(held)); // there is room for one
-        let body = Reply::Coming { left: said, pieces: receiver, over: false, taken: None };
-        tell(Stage::Started { answer: Answer { headers, body }, first, load });
+        let body = Reply::Coming { left: said, pieces: receiver, over: false, taken: None, guard: None };
+        tell(Stage::Started { answer: Box::new(Answer { headers, body }), first, load });
         loop {
             let frame = poll_fn(|cx| {
                 if let Poll::Ready(frame) = Pin::new(&mut rest).poll_frame(cx) {
@@ -547,25 +548,21 @@
 /// Takes an answer's body in until it is whole, or known to be longer than what is held.
 async fn take_in(head: Parts, mut body: Incoming) -> Result<(Parts, Taken), hyper::Error> {
     let said = body.size_hint().exact();
-    if said.is_some_and(|said| said > MAX_LARGE) {
-        return Ok((head, Taken::TooLong));
-    }
-    let large = said.is_some_and(|said| said > MAX_BODY as u64);
-    let (mut held, mut begun) = (BytesMut::new(), None);
+    let (start, mut intake, mut held) = (Instant::now(), Intake::new(said), BytesMut::new());
     loop {
-        let for_long = |most| begun.is_some_and(|begun: Instant| begun.elapsed() >= most);
-        let trickles = said.is_none() && held.len() >= MUCH && for_long(TRICKLES);
-        if held.len() > MAX_BODY || (large && for_long(FLOWS)) || trickles {
-            return Ok((head, Taken::Large { held: held.freeze(), rest: body, said }));
+        match intake.verdict(start.elapsed()) {
+            Verdict::Hold => {}
+            Verdict::PassOn => return Ok((head, Taken::Large { held: held.freeze(), rest: body, said })),
+            Verdict::Spoilt => return Ok((head, Taken::TooLong)),
         }
         match body.frame().await {
             None => return Ok((head, Taken::Whole(held.freeze()))),
             Some(Err(_)) => return Ok((head, Taken::Broken)),
             Some(Ok(frame)) => {
                 let Ok(data) = frame.into_data() else { continue };
-                begun = begun.or_else(|| Some(Instant::now()));
+                intake.came(start.elapsed(), data.len() as u64);
                 // The usual answer is one piece, and is not copied.
-                if held.is_empty() && said == Some(data.len() as u64) && !large {
+                if held.is_empty() && said == Some(data.len() as u64) && data.len() <= MAX_BODY {
                     return Ok((head, Taken::Whole(data)));
                 }
                 held.extend_from_slice(&data);
--- a/crates/gateway/tests/day_by_day/main.rs
+++ b/crates/gateway/tests/day_by_day/main.rs
@@ -522,6 +522,23 @@
     wait_for("the count", || gateway.figure("router_current") == Some(0));
 }
 
+/// The client writes all the while, so that only the host can be at fault; the longest body may take half an hour.
+#[test]
+fn a_host_that_takes_no_more_of_a_body_is_left() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = listener.local_addr().expect("an address").to_string();
+    spawn(move || {
+        let held: Vec<_> = listener.incoming().take(1).collect();
+        sleep(2 * LONG);
+        drop(held);
+    });
+    let (gateway, _discovery) =
+        start("takes-none", &[ottervane_rig::scripted::entry("s-1", &at, 1, "active")]);
+    let up = Bulk::new(30 << 20, Form::Length);
+    let answer = ask(&gateway.address, &request("once"), Some(up), Duration::ZERO).expect("an answer");
+    assert_eq!(answer.status(), 503, "it has not had the whole, so it has not run");
+}
+
 /// Nothing comes from the host by which the gateway could notice: it looks at the client.
 #[test]
 fn a_client_that_goes_frees_a_host_that_rests() {
