Let control say when a process takes clients, and tell an operator why it does not

The daemon asks Entry what is awaited. `_ready` gives the reason, a start without discovery and one without hosts are logged with the setting, a port that is taken is told with its address, key, variable and way out, and the two processes' lines say what follows.

--- a/crates/gateway/src/core/messages.rs
+++ b/crates/gateway/src/core/messages.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
 /// The gateway's clock starts here, so that hosts started before this process have a time on it.
@@ -153,7 +153,7 @@
     requests: Rc<Cell<u64>>,
     hosts_up: Rc<Cell<bool>>,
     connections: Rc<Cell<bool>>,
-    news: Rc<Notify>,
+    heard: Rc<Cell<bool>>,
     clock: Clock,
 }
 
@@ -161,8 +161,8 @@
     /// A handle, and what is told through it and its clones.
     pub fn new() -> (Handle, mpsc::UnboundedReceiver<Message>) {
         let (sender, messages) = mpsc::unbounded_channel();
-        let (requests, hosts_up, connections, news) = Default::default();
-        (Handle { messages: sender, requests, hosts_up, connections, news, clock: Clock::new() }, messages)
+        let (requests, hosts_up, connections, heard) = Default::default();
+        (Handle { messages: sender, requests, hosts_up, connections, heard, clock: Clock::new() }, messages)
     }
 
     /// Tells the gateway something. Once it is gone the process ends, and nobody is left to be told.
@@ -193,16 +193,14 @@
         self.hosts_up.clone()
     }
 
-    /// Discovery has said something.
-    pub fn heard(&self) {
-        self.news.notify_one();
+    /// Whether discovery has said something since the start.
+    pub fn heard(&self) -> bool {
+        self.heard.get()
     }
 
-    /// Waits until discovery has said something.
-    ///
-    /// Cancel safe; for one waiter.
-    pub async fn news(&self) {
-        self.news.notified().await;
+    /// Notes that it has.
+    pub fn note_heard(&self) {
+        self.heard.set(true);
     }
 
     /// Notes whether any host takes work.
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -400,7 +400,7 @@
             }
             // What a watch said before it was ended may wait here still: it is no news of the present discovery.
             Message::Hosts { watch, list } if watch == self.watch => {
-                self.handle.heard();
+                self.handle.note_heard();
                 if let Some(silent) = self.rewatch.heard(self.handle.time(Instant::now())) {
                     info!(address = %self.discovery, after = ?silent, "discovery: news are pushed again");
                 }
--- a/crates/gateway/src/daemon/handover.rs
+++ b/crates/gateway/src/daemon/handover.rs
@@ -96,7 +96,10 @@
         place = now_at;
         if shared.replace(other) != Some(other) {
             budget.share(other);
-            info!(other, "another process of this gateway");
+            match other {
+                true => info!("another process of this gateway is there: each holds half of the descriptors until one has gone"),
+                false => info!("no other process of this gateway: all descriptors are this one's"),
+            }
         }
         let due = written.is_none_or(|at: tokio::time::Instant| at.elapsed() >= EVERY);
         if due && matches!(place, Place::Serves(_)) {
--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -17,6 +17,7 @@
 use ottervane::Settings;
 use ottervane_control::classes::Classes;
 use ottervane_control::drain;
+use ottervane_control::handover::Awaited;
 use serde_json::Value;
 use service::Service;
 use std::env;
@@ -28,23 +29,39 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, sleep_until, timeout, Instant};
-use tracing::{error, info};
+use tokio::time::{sleep, sleep_until, Instant};
+use tracing::{error, info, warn};
 
 /// Connections that the kernel holds for us: a burst must find room there.
 const BACKLOG: u32 = 4096;
-/// A process that takes over from another waits so long for news of the hosts; its yes is due within 6 s.
-const FIRST_NEWS: Duration = Duration::from_millis(2500);
-/// With no host that takes work it waits so long for one; then clients are told that there is none.
-const FIRST_HOST: Duration = Duration::from_secs(6);
-/// And looks for one this often.
+/// Before it takes clients it looks this often whether it still waits for something.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
+/// An address that can't be listened on.
+#[derive(Debug, thiserror::Error)]
+#[error(
+    "cannot listen on {address}, which is `{key}` in the file that ROUTER_CONFIG names, or {variable}: {source}; end the process \
+     that has it, or name an address of this machine that is free"
+)]
+struct ListenError {
+    key: &'static str,
+    variable: &'static str,
+    address: SocketAddr,
+    source: std::io::Error,
+}
+
+fn listen(
+    key: &'static str,
+    variable: &'static str,
+    address: SocketAddr,
+) -> Result<TcpListener, ListenError> {
+    let bound = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    bound().map_err(|source| ListenError { key, variable, address, source })
 }
 
 /// What a new file is compared with and applied to.
@@ -140,16 +157,16 @@
     }
     let shared = handed.is_some();
     let leaving = drain::Terms { longest: longest(&settings), shared };
-    let service = Rc::new(Service::new(leaving, handle.hosts_up(), figures.clone()));
+    let service = Rc::new(Service::new(leaving, handle.clone(), figures.clone()));
     if let Some(address) = config.management {
-        let listener = listen(address)?;
+        let listener = listen("management", "ROUTER_MANAGEMENT", address)?;
         info!(address = %listener.local_addr()?, "calls are answered");
         gateway.keep_figures(figures);
         spawn_local(management::answer(listener, budget.management.clone(), service.clone()));
     }
     let listener = match handed {
         Some(listener) => TcpListener::from_std(listener)?,
-        None => listen(config.listen)?,
+        None => listen("listen", "ROUTER_LISTEN", config.listen)?,
     };
     gateway.learn(config.known);
     let told = handle.clone();
@@ -182,21 +199,24 @@
     };
     tokio::pin!(running);
     let serving = async {
-        if shared {
-            // Another process may serve meanwhile. What it was told of drains binds this one too, so nobody is taken
-            // in on a list that may be old, unless there is no other to be had.
-            let _ = timeout(FIRST_NEWS, handle.news()).await;
-            if let Some(memory) = known_before.take() {
-                handle.tell(Message::Recall(memory));
-            }
+        while service.awaits() == Some(Awaited::Discovery) {
+            sleep(LOOK_AGAIN).await;
         }
-        service.begin();
-        if shared {
-            // With no host to send to it would only take clients from the process that serves.
-            let since = Instant::now();
-            while !service.can_serve() && since.elapsed() < FIRST_HOST {
-                sleep(LOOK_AGAIN).await;
-            }
+        if shared && !handle.heard() {
+            warn!(
+                "discovery has said nothing yet; clients are taken on the list of the file. The address is `discovery` in the \
+                 file that ROUTER_CONFIG names, or ROUTER_DISCOVERY"
+            );
+        }
+        // After the list: what is remembered is of hosts that it names.
+        if let Some(memory) = known_before.take() {
+            handle.tell(Message::Recall(memory));
+        }
+        while service.awaits().is_some() {
+            sleep(LOOK_AGAIN).await;
+        }
+        if let Some(why) = service.unready() {
+            warn!(why, "clients are taken and refused until this changes; the list is discovery's");
         }
         server.clone().accept(&listener).await;
     };
--- a/crates/gateway/src/daemon/service.rs
+++ b/crates/gateway/src/daemon/service.rs
@@ -1,8 +1,10 @@
 //! How this process stands in service: the drain machine with the clock it wants, what has been accepted, and the figures. The
 //! listeners read it and report to it.
 
+use crate::core::messages::Handle;
 use crate::figures::Figures;
 use ottervane_control::drain::{Drain, Terms};
+use ottervane_control::handover::{Awaited, Entry};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,10 +16,9 @@
     start: Instant,
     drain: RefCell<Drain>,
     accepted: Cell<Duration>,
-    /// A host takes work.
+    gateway: Handle,
     hosts_up: Rc<Cell<bool>>,
-    /// The list has been heard, or waited for long enough.
-    begun: Cell<bool>,
+    entry: Entry,
     /// Wakes who waits for the next change of the drain.
     pub changed: Notify,
     /// The figures.
@@ -25,14 +26,16 @@
 }
 
 impl Service {
-    /// In service, once it has [`Self::begin`] and hosts that take work.
-    pub fn new(terms: Terms, hosts_up: Rc<Cell<bool>>, figures: Rc<Figures>) -> Service {
+    /// In service, once it awaits nothing more.
+    pub fn new(terms: Terms, gateway: Handle, figures: Rc<Figures>) -> Service {
+        let hosts_up = gateway.hosts_up();
         Service {
             start: Instant::now(),
             drain: RefCell::new(Drain::new(terms)),
             accepted: Cell::default(),
+            gateway,
             hosts_up,
-            begun: Cell::new(false),
+            entry: Entry { shared: terms.shared, since: Duration::ZERO },
             changed: Notify::new(),
             figures,
         }
@@ -42,19 +45,24 @@
         self.start.elapsed()
     }
 
-    /// From now on it may serve.
-    pub fn begin(&self) {
-        self.begun.set(true);
+    /// What it waits for before it takes clients, if anything.
+    pub fn awaits(&self) -> Option<Awaited> {
+        self.entry.awaits(self.now(), self.gateway.heard(), self.hosts_up.get())
     }
 
-    /// Whether this process can serve, be it drained or not.
-    pub fn can_serve(&self) -> bool {
-        self.begun.get() && self.hosts_up.get() && !self.stopping()
+    /// Why this process can't serve, be it drained or not; none where it can.
+    pub fn unready(&self) -> Option<&'static str> {
+        match self.awaits() {
+            _ if self.stopping() => Some("stopping"),
+            Some(Awaited::Discovery) => Some("waiting for discovery's first word"),
+            _ if !self.hosts_up.get() => Some("no host in discovery's list takes work"),
+            _ => None,
+        }
     }
 
     /// Whether the front may send clients here.
     pub fn ready(&self) -> bool {
-        self.begun.get() && self.hosts_up.get() && self.drain.borrow().ready()
+        self.unready().is_none() && self.drain.borrow().ready()
     }
 
     /// Drains it, or takes that back. Whether this changed anything.
--- a/crates/gateway/src/listeners/management.rs
+++ b/crates/gateway/src/listeners/management.rs
@@ -105,8 +105,6 @@
 }
 
 fn respond(request: &Request<Incoming>, service: &Service) -> Response<Full<Bytes>> {
-    let yes_or_no =
-        |yes| if yes { (StatusCode::OK, "yes\n") } else { (StatusCode::SERVICE_UNAVAILABLE, "no\n") };
     let (allowed, path) = match request.uri().path() {
         path @ ("/_ready" | "/_vars") => (Method::GET, path),
         path @ ("/_lameduck/on" | "/_lameduck/off") => (Method::PUT, path),
@@ -126,10 +124,10 @@
     }
     match path {
         "/_vars" => said(StatusCode::OK, service.figures.text()),
-        "/_ready" => {
-            let (status, text) = yes_or_no(service.can_serve());
-            said(status, text.into())
-        }
+        "/_ready" => match service.unready() {
+            None => said(StatusCode::OK, "yes\n".into()),
+            Some(why) => said(StatusCode::SERVICE_UNAVAILABLE, format!("no: {why}\n")),
+        },
         path => {
             let on = path.ends_with("/on");
             if service.drain(on) {
--- a/crates/gateway/tests/day_by_day/main.rs
+++ b/crates/gateway/tests/day_by_day/main.rs
@@ -392,6 +392,31 @@
     assert!(new.figure("router_answered{group=\"look\"}") > Some(0));
 }
 
+/// What an operator reads when a port is taken: which, by which setting, and what to do.
+#[test]
+fn says_which_address_is_taken_and_by_which_setting() {
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = taken.local_addr().expect("an address").to_string();
+    for (key, variable) in [("listen", "ROUTER_LISTEN"), ("management", "ROUTER_MANAGEMENT")] {
+        let mut config = config("127.0.0.1:1", 256, &[]);
+        config[key] = address.clone().into();
+        let name = format!("taken-{key}");
+        write_config(&PROGRAM, &name, &config.to_string());
+        let mut command = std::process::Command::new(PROGRAM.path);
+        command.env("ROUTER_CONFIG", format!("{}/{name}.json", PROGRAM.folder));
+        for unset in ["ROUTER_LISTEN", "ROUTER_MANAGEMENT", "ROUTER_DISCOVERY", "ROUTER_INHERITED_FD"] {
+            command.env_remove(unset);
+        }
+        let output = command.output().expect("the built gateway");
+        let text = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(1), "{text}");
+        assert!(
+            [&address, &format!("`{key}`"), variable, "in use"].iter().all(|word| text.contains(word)),
+            "{text}"
+        );
+    }
+}
+
 #[test]
 fn says_what_is_wrong_with_a_descriptor_handed_on() {
     let discovery = ScriptedRegister::start();
@@ -835,7 +860,9 @@
     // One that knows no host never says yes; the old one serves on, and the new one is ended.
     let (mut blind, _blind_news) = begin("often-blind", &[]);
     sleep(Duration::from_millis(500));
-    assert_eq!(blind.call("GET", "/_ready").status(), 503);
+    let unready = blind.call("GET", "/_ready");
+    let why = String::from_utf8_lossy(&unready.body).into_owned();
+    assert!(unready.status() == 503 && why.contains("discovery"), "{why}");
     for _ in 0..20 {
         assert_eq!(asked(), 200, "the blind one takes no client from the one that serves");
     }
