--- a/crates/control/tests/drain.rs
+++ b/crates/control/tests/drain.rs
@@ -98,3 +98,91 @@
     assert!(closed.iter().all(|c| c.is_some_and(|c| c <= MS(11_850))));
     assert!(closed.windows(2).all(|pair| pair[0] >= pair[1]), "the longest idle first");
 }
+
+/// A client's connection, as the listener keeps it: what rests is looked at every 25 ms, what is answered goodbye ends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Held {
+    Rests(Duration),
+    Asked(Duration),
+    Closed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Act {
+    Step(Step),
+    /// The client of the connection that is used asks.
+    Ask,
+    /// It is answered.
+    Answer,
+}
+
+const ACTS: [Act; 7] = [
+    Act::Step(Step::On),
+    Act::Step(Step::Off),
+    Act::Step(Step::Stop),
+    Act::Step(Step::Wait(250)),
+    Act::Step(Step::Wait(2250)),
+    Act::Ask,
+    Act::Answer,
+];
+
+/// Every order of calls, requests, answers and closes, seven kinds to a depth of six, with one connection that is used and one that
+/// rests: nothing ends that the drain has no cause to end, and 4 s after the call nothing is held that the page forbids.
+#[test]
+fn no_connection_is_ended_without_cause_or_held_too_long() {
+    for shared in [false, true] {
+        for course in 0..ACTS.len().pow(DEPTH) {
+            let (mut now, mut on, mut stop) = (MS(9000), None, None);
+            let mut drain = Drain::new(Terms { longest: MS(1200), shared });
+            let mut held = [Held::Rests(now), Held::Rests(now)];
+            let mut rest = course;
+            for _ in 0..DEPTH {
+                let mut pass = MS(0);
+                match ACTS[rest % ACTS.len()] {
+                    Act::Step(Step::On) => {
+                        drain.call(now, true);
+                        on = on.or(Some(now));
+                    }
+                    Act::Step(Step::Off) => {
+                        drain.call(now, false);
+                        on = None;
+                    }
+                    Act::Step(Step::Stop) => {
+                        drain.stop(now);
+                        stop = stop.or(Some(now));
+                    }
+                    Act::Step(Step::Wait(ms)) => pass = MS(ms),
+                    Act::Ask if matches!(held[0], Held::Rests(_)) => held[0] = Held::Asked(now),
+                    Act::Answer if matches!(held[0], Held::Asked(_)) => {
+                        held[0] = if drain.says_goodbye(now) { Held::Closed } else { Held::Rests(now) };
+                        assert!(held[0] != Held::Closed || on.is_some() || stop.is_some());
+                    }
+                    Act::Ask | Act::Answer => {}
+                }
+                rest /= ACTS.len();
+                let end = now + pass;
+                loop {
+                    for connection in &mut held {
+                        let Held::Rests(since) = *connection else { continue };
+                        if drain.may_rest(now, MS(9000)).is_some_and(|most| now - since >= most) {
+                            assert!(on.is_some() || stop.is_some(), "ended at {now:?} without cause");
+                            *connection = Held::Closed;
+                        }
+                    }
+                    if on.is_some_and(|since: Duration| now >= since + MS(4000)) {
+                        let late = |held: &Held| match held {
+                            Held::Rests(_) => true,
+                            Held::Asked(at) => *at + MS(2000) > now,
+                            Held::Closed => false,
+                        };
+                        assert!(!held.iter().any(late), "{held:?} at {now:?}, drained since {on:?}");
+                    }
+                    if now >= end {
+                        break;
+                    }
+                    now = (now + MS(25)).min(end);
+                }
+            }
+        }
+    }
+}
--- a/crates/gateway/src/daemon/handover.rs
+++ b/crates/gateway/src/daemon/handover.rs
@@ -136,3 +136,33 @@
         },
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Locks of one process exclude each other like those of two, as each opens the file anew.
+    #[test]
+    fn each_knows_of_the_other_until_it_has_gone() {
+        let folder = std::env::temp_dir().join(format!("ottervane-places-{}", std::process::id()));
+        fs::create_dir_all(&folder).expect("a folder");
+        let step = |place| look(&folder, place).expect("the folder can be used");
+        let (old, other) = step(Place::Follows(None));
+        assert!(matches!(old, Place::Serves(_)) && !other, "alone");
+        let (new, other) = step(Place::Follows(None));
+        assert!(matches!(new, Place::Follows(Some(_))) && other);
+        let (old, other) = step(old);
+        assert!(other, "the old one sees it come");
+        let (third, other) = step(Place::Follows(None));
+        assert!(matches!(third, Place::Follows(None)) && other);
+        drop(old);
+        let (new, other) = step(new);
+        assert!(matches!(new, Place::Serves(_)) && !other, "as if it were alone, until it looks again");
+        let (third, _) = step(third);
+        assert!(matches!(third, Place::Follows(Some(_))));
+        assert!(step(new).1, "and then it sees the third");
+        drop(third);
+        assert!(lock(&folder, SERVES).expect("the folder").is_some(), "nothing outlives those who held it");
+        let _ = fs::remove_dir_all(&folder);
+    }
+}
--- a/crates/gateway/src/figures.rs
+++ b/crates/gateway/src/figures.rs
@@ -177,4 +177,30 @@
         drop(held);
         assert!(figures.text().contains("router_current 0\n"));
     }
+
+    /// What is being decided when something panics is answered 500, and counts as that.
+    #[test]
+    fn a_request_whose_deciding_panics_has_failed_and_one_whose_client_goes_counts_as_nothing() {
+        let figures = Rc::new(Figures::default());
+        figures.know(&["look".into()]);
+        let class = ottervane::Class::new(std::time::Duration::ZERO, std::time::Duration::ZERO);
+        let kept = Rc::new(Kept { name: "look".into(), number: 0, class });
+        let taken = || {
+            let mut taken = Taken::new(figures.clone(), kept.clone());
+            taken.open();
+            taken
+        };
+        let panics = std::panic::AssertUnwindSafe(|| {
+            let _taken = taken();
+            panic!("on purpose");
+        });
+        assert!(std::panic::catch_unwind(panics).is_err());
+        assert!(figures.text().contains("router_errored{group=\"look\"} 1\n"));
+        drop(taken());
+        let text = figures.text();
+        assert!(
+            text.contains("router_errored{group=\"look\"} 1\n") && text.contains("router_current 0\n"),
+            "{text}"
+        );
+    }
 }
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -117,3 +117,30 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn half_is_left_to_another_process_and_taken_back() {
+        let budget = Budget::new(&Limits { memory_mb: 192, sockets: 1024 }, true);
+        let whole = budget.clients.most();
+        let mut held: Vec<_> = (0..whole).map(|_| budget.clients.take().expect("a place")).collect();
+        assert!(budget.clients.take().is_none());
+        budget.share(true);
+        assert_eq!(budget.clients.most(), whole.div_ceil(2));
+        assert_eq!(
+            budget.management.most(),
+            Budget::new(&Limits::default(), true).management.most(),
+            "staff keep theirs"
+        );
+        held.truncate(whole / 4 * 3);
+        assert!(budget.clients.take().is_none(), "more than half is open still, and nothing is cut off");
+        budget.share(false);
+        assert!(budget.clients.take().is_some());
+        // The second address is paid for by the others.
+        let without = Budget::new(&Limits { memory_mb: 192, sockets: 1024 }, false);
+        assert!(without.hosts.most() > budget.hosts.most() && without.management.most() == 0);
+    }
+}
--- a/crates/rig/src/script/read.rs
+++ b/crates/rig/src/script/read.rs
@@ -113,21 +113,9 @@
         let carried = if t.has("gateways") { gateways.min(CARRIED) } else { 2 };
         let on_sockets = t.within("on_sockets", 1..=1000, carried as u64) as usize;
         let told = t.within("told", 0.01..=100.0, 1.0);
-        let joining = t.within("joining", 0..=999, 0u64) as usize;
-        if joining >= gateways {
-            t.wrong(
-                "joining",
-                format!("must be less than gateways, which is {gateways}: somebody has to serve"),
-            );
-        }
+        let joining = fewer_than(t, "joining", gateways);
         let joins_at = t.within("joins_at", Duration::ZERO..=LONGEST, ms(10_000));
-        let killed = t.within("killed", 0..=999, 0u64) as usize;
-        if killed >= gateways {
-            t.wrong(
-                "killed",
-                format!("must be less than gateways, which is {gateways}: somebody has to serve"),
-            );
-        }
+        let killed = fewer_than(t, "killed", gateways);
         let killed_at = t.within("killed_at", Duration::ZERO..=LONGEST, ms(10_000));
         let back_after = t.within("back_after", ms(1)..=LONGEST, ms(3000));
         let noticed = t.within("noticed", Duration::ZERO..=LONGEST, ms(2000));
@@ -161,6 +149,15 @@
     })
 }
 
+/// How many of the gateways something happens to: never to all.
+fn fewer_than(t: &Table<'_, '_>, key: &str, gateways: usize) -> usize {
+    let count = t.within(key, 0..=999, 0u64) as usize;
+    if count >= gateways {
+        t.wrong(key, format!("must be less than gateways, which is {gateways}: somebody has to serve"));
+    }
+    count
+}
+
 fn kind(t: &Table<'_, '_>) -> Kind {
     let name = t.need::<String>("name").unwrap_or_default();
     let share = t.within("share", SHARE, 1.0);
