--- a/crates/gateway/src/config/platform.rs
+++ b/crates/gateway/src/config/platform.rs
@@ -4,6 +4,7 @@
 use crate::discovery::list::List;
 use crate::limits::Limits;
 use crate::names::Names;
+use crate::upstream::Terms;
 use ottervane::report::ReportFields;
 use ottervane::wire::parse_settings;
 use ottervane::{stable_hash, Class, Settings};
@@ -135,18 +136,14 @@
     pub known: List,
     /// The module's settings.
     pub settings: Settings,
-    /// How hosts word their load reports.
-    pub reports: ReportFields,
     /// The names of the settings' classes, by number.
     pub classes: Vec<String>,
     /// The names behind the settings' other numbers.
     pub names: Names,
     /// The file as it stands, to compare the next one with.
     pub document: Value,
-    /// A connection to a host that is not up by then will not come up.
-    pub dial_timeout: Duration,
-    /// Hosts close a connection that has been idle for so long.
-    pub keepalive: Duration,
+    /// What holds for connections to hosts.
+    pub connections: Terms,
 }
 
 impl Config {
@@ -247,9 +244,11 @@
             limits: raw.limits,
             known: raw.known,
             settings,
-            reports,
-            dial_timeout: seconds("dial_timeout_s", names.policy_limits.dial_timeout_s)?,
-            keepalive: seconds("keepalive_s", names.policy_limits.keepalive_s)?,
+            connections: Terms {
+                dial_timeout: seconds("dial_timeout_s", names.policy_limits.dial_timeout_s)?,
+                keepalive: seconds("keepalive_s", names.policy_limits.keepalive_s)?,
+                reports,
+            },
             classes: plain(names.classes),
             document,
             names: Names { tenants: plain(names.accounts), zones: names.azs, kinds: names.flavors },
--- a/crates/gateway/src/core/messages.rs
+++ b/crates/gateway/src/core/messages.rs
@@ -66,6 +66,8 @@
     pub names: Names,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// What holds for connections to hosts.
+    pub connections: crate::upstream::Terms,
 }
 
 /// What the gateway hears.
@@ -154,6 +156,7 @@
     hosts_up: Rc<Cell<bool>>,
     connections: Rc<Cell<bool>>,
     heard: Rc<Cell<bool>>,
+    answers_by: Rc<Cell<Option<Instant>>>,
     clock: Clock,
 }
 
@@ -161,8 +164,19 @@
     /// A handle, and what is told through it and its clones.
     pub fn new() -> (Handle, mpsc::UnboundedReceiver<Message>) {
         let (sender, messages) = mpsc::unbounded_channel();
-        let (requests, hosts_up, connections, heard) = Default::default();
-        (Handle { messages: sender, requests, hosts_up, connections, heard, clock: Clock::new() }, messages)
+        let (requests, hosts_up, connections, heard, answers_by) = Default::default();
+        (
+            Handle {
+                messages: sender,
+                requests,
+                hosts_up,
+                connections,
+                heard,
+                answers_by,
+                clock: Clock::new(),
+            },
+            messages,
+        )
     }
 
     /// Tells the gateway something. Once it is gone the process ends, and nobody is left to be told.
@@ -193,6 +207,16 @@
         self.hosts_up.clone()
     }
 
+    /// The latest moment for any answer, where the process is on its way out.
+    pub fn answers_by(&self) -> Option<Instant> {
+        self.answers_by.get()
+    }
+
+    /// Notes it.
+    pub fn set_answers_by(&self, by: Instant) {
+        self.answers_by.set(Some(by));
+    }
+
     /// Whether discovery has said something since the start.
     pub fn heard(&self) -> bool {
         self.heard.get()
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -136,6 +136,7 @@
     messages: mpsc::UnboundedReceiver<Message>,
     handle: Handle,
     storm: Option<Storm>,
+    storms: Option<StormSettings>,
     figures: Option<Rc<Figures>>,
 }
 
@@ -171,6 +172,7 @@
             messages,
             handle: handle.clone(),
             storm: None,
+            storms: None,
             figures: None,
         };
         (gateway, handle)
@@ -187,7 +189,7 @@
             gateways: set.gateways,
         };
         let storm = Storm::new(storms, terms, self.seed);
-        self.storm = Some(storm);
+        (self.storm, self.storms) = (Some(storm), Some(storms));
         self.handle.count_connections();
     }
 
@@ -379,6 +381,8 @@
             Message::Spent(request) => self.decide(Event::Spent { request }),
             Message::Complete { request, give_up } => {
                 let Some(entry) = self.requests.get_mut(&request) else { return };
+                // A stop that has come meanwhile has its own end.
+                let give_up = self.handle.answers_by().map_or(give_up, |by| give_up.min(by));
                 entry.give_up = give_up;
                 self.timers.push(Reverse((give_up, Timer::Backstop(request))));
                 let give_up_at = self.handle.time(give_up);
@@ -470,14 +474,19 @@
 
     /// Goes on under other settings.
     fn retune(&mut self, retune: Retune) {
-        let Retune { mut settings, names, discovery } = retune;
+        let Retune { mut settings, names, discovery, connections } = retune;
+        self.pool.retune(connections);
         // The numbers of zones and kinds that hosts are known by stay.
         let zone = names.zones.get(settings.zone as usize).cloned();
         self.names.go_on_as(names);
         if let Some(zone) = zone.and_then(|zone| self.names.zones.iter().position(|z| *z == zone)) {
             settings.zone = zone as u32;
         }
-        self.settings = settings.clone();
+        let before = std::mem::replace(&mut self.settings, settings.clone());
+        let weather = |s: &Settings| (s.quotas.clone(), s.max_keep_away, s.cold_from, s.cold_for, s.gateways);
+        if let Some(storms) = self.storms.filter(|_| weather(&before) != weather(&settings)) {
+            self.control_storms(storms); // what it had seen was by other shares
+        }
         self.balancer.retune(settings);
         self.rediscover(discovery);
     }
@@ -740,13 +749,9 @@
         settings.classes.push(ottervane::Class::new(Duration::from_secs(10), Duration::from_secs(30)));
         let names = Names { tenants: vec![], zones: vec![], kinds: vec![] };
         let budget = Budget::new(&Default::default(), false);
-        let pool = Rc::new(Pool::new(
-            budget.hosts,
-            Duration::from_secs(5),
-            Duration::from_secs(10),
-            Default::default(),
-            Rc::default(),
-        ));
+        let (dial_timeout, keepalive) = (Duration::from_secs(5), Duration::from_secs(10));
+        let terms = crate::upstream::Terms { dial_timeout, keepalive, reports: Default::default() };
+        let pool = Rc::new(Pool::new(budget.hosts, terms, Rc::default()));
         let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
         Gateway::new(settings, 1, names, pool, nobody)
     }
@@ -842,6 +847,24 @@
         assert_eq!(gateway.faults.len(), 3);
     }
 
+    /// The time of a body that came in pieces begins with its end, which may come when the process is already on its way out.
+    #[tokio::test]
+    async fn a_body_that_ends_during_a_stop_has_no_more_time_than_that() {
+        let local = LocalSet::new();
+        let _inside = local.enter();
+        let (mut gateway, handle) = gateway();
+        let (held, _answered) = arrival(&handle);
+        let id = held.request.id;
+        gateway.take(Message::Arrived(held));
+        let late = Instant::now() + Duration::from_secs(20);
+        gateway.take(Message::Complete { request: id, give_up: late });
+        assert_eq!(gateway.requests.get(&id).map(|e| e.give_up), Some(late));
+        let by = Instant::now() + Duration::from_secs(1);
+        handle.set_answers_by(by);
+        gateway.take(Message::Complete { request: id, give_up: late });
+        assert_eq!(gateway.requests.get(&id).map(|e| e.give_up), Some(by));
+    }
+
     /// A panic of the module can't be had from outside; what follows one can.
     #[tokio::test]
     async fn starting_over_fails_what_is_held_and_serves_on() {
--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -98,8 +98,8 @@
         info!(discovery = %config.discovery, classes = config.classes.join(","), attempts = settings.max_attempts, "SIGHUP: the \
             file is in force");
         // The owner of the decisions hears of them ahead of the first request that comes under them.
-        let (names, discovery) = (config.names, config.discovery);
-        self.gateway.tell(Message::Retune(Box::new(Retune { settings, names, discovery })));
+        let Config { names, discovery, connections, .. } = config;
+        self.gateway.tell(Message::Retune(Box::new(Retune { settings, names, discovery, connections })));
         self.server.turn_to(terms);
         self.running = config.document;
     }
@@ -143,13 +143,7 @@
     let terms = Terms::new(&classes, config.names.tenants.clone(), &settings);
     let figures = Rc::new(Figures::default());
     figures.know(&config.classes);
-    let pool = Rc::new(Pool::new(
-        budget.hosts.clone(),
-        config.dial_timeout,
-        config.keepalive,
-        config.reports,
-        figures.clone(),
-    ));
+    let pool = Rc::new(Pool::new(budget.hosts.clone(), config.connections, figures.clone()));
     let (mut gateway, handle) =
         Gateway::new(settings.clone(), config.seed, config.names, pool.clone(), config.discovery);
     if let Some(settings) = operator.storm {
--- a/crates/gateway/src/daemon/service.rs
+++ b/crates/gateway/src/daemon/service.rs
@@ -75,6 +75,9 @@
     /// Ends its service.
     pub fn stop(&self) {
         self.drain.borrow_mut().stop(self.now());
+        if let Some(by) = self.drain.borrow().answers_by() {
+            self.gateway.set_answers_by(self.start + by);
+        }
         self.changed.notify_one();
     }
 
@@ -107,9 +110,4 @@
     pub fn may_rest(&self) -> Option<Duration> {
         self.drain.borrow().may_rest(self.now(), self.accepted.get())
     }
-
-    /// The latest moment for any answer, where there is one.
-    pub fn answers_by(&self) -> Option<Instant> {
-        Some(self.start + self.drain.borrow().answers_by()?)
-    }
 }
--- a/crates/gateway/src/framing.rs
+++ b/crates/gateway/src/framing.rs
@@ -260,25 +260,31 @@
         "noise\r\nTransfer-Encoding: chunked\r\n\r\n4;x=y\r\n",
     ];
 
+    /// What is left of a text that comes in pieces of these lengths, by turns.
+    fn cut_up(framing: &mut Framing, whole: &str, cuts: &[usize]) -> String {
+        let (mut rest, mut cut, mut passed) = (whole.as_bytes(), cuts.iter().cycle(), Vec::new());
+        while !rest.is_empty() {
+            let (piece, behind) = rest.split_at((*cut.next().expect("endless")).min(rest.len()));
+            let mut piece = piece.to_vec();
+            let kept = framing.take(&mut piece);
+            passed.extend_from_slice(&piece[..kept]);
+            rest = behind;
+        }
+        String::from_utf8(passed).expect("text")
+    }
+
     proptest! {
         /// The extensions of an answer's chunks are all that is ever left out, however it is cut.
         #[test]
         fn answers_lose_nothing_but_extensions(kinds in prop::collection::vec(0usize..6, 0..8), cuts in prop::collection::vec(1usize..30, 1..20)) {
             let whole: String = kinds.iter().map(|kind| ANSWERS[*kind]).collect();
-            let (mut framing, mut passed) = (Framing::of_answers(), Vec::new());
-            let (mut rest, mut cut) = (whole.as_bytes(), cuts.iter().cycle());
-            while !rest.is_empty() {
-                let (piece, behind) = rest.split_at((*cut.next().expect("endless")).min(rest.len()));
-                let mut piece = piece.to_vec();
-                let kept = framing.take(&mut piece);
-                passed.extend_from_slice(&piece[..kept]);
-                rest = behind;
-            }
+            let mut framing = Framing::of_answers();
+            let passed = cut_up(&mut framing, &whole, &cuts);
             let followed = kinds.iter().position(|kind| *kind > 3).unwrap_or(kinds.len());
             let (followed, lost) = kinds.split_at(followed);
             let text = |kinds: &[usize]| kinds.iter().map(|kind| ANSWERS[*kind]).collect::<String>();
             let wanted = text(followed).replace("\n4;x=y", "\n4").replace("\n0;z", "\n0") + &text(lost);
-            prop_assert_eq!(String::from_utf8(passed).expect("text"), wanted);
+            prop_assert_eq!(passed, wanted);
         }
 
         /// However a stream is cut, the same is seen; the model is the list of messages that it was made of.
@@ -287,14 +293,7 @@
             let messages: Vec<&str> = kinds.iter().map(|kind| [PLAIN, NONE, CHUNKED, BOTH[0], BOTH[1]][*kind]).collect();
             let whole = messages.concat();
             let mut framing = Framing::default();
-            let (mut rest, mut cut, mut passed) = (whole.as_bytes(), cuts.iter().cycle(), Vec::new());
-            while !rest.is_empty() {
-                let (piece, behind) = rest.split_at((*cut.next().expect("endless")).min(rest.len()));
-                let mut piece = piece.to_vec();
-                let kept = framing.take(&mut piece);
-                passed.extend_from_slice(&piece[..kept]);
-                rest = behind;
-            }
+            let passed = cut_up(&mut framing, &whole, &cuts);
             let spoilt = kinds.iter().position(|kind| *kind > 2).map_or(kinds.len(), |at| at);
             for number in 1..=kinds.len() {
                 prop_assert_eq!(framing.is_plain(number as u64), number <= spoilt, "{}", number);
@@ -302,7 +301,7 @@
             // All that is left out is the extension, where it was followed.
             let (followed, lost) = messages.split_at(spoilt);
             let wanted = followed.concat().replace("4;x=y", "4") + &lost.concat();
-            prop_assert_eq!(String::from_utf8(passed).expect("text"), wanted);
+            prop_assert_eq!(passed, wanted);
         }
 
         /// Nothing that comes makes it panic.
--- /dev/null
+++ b/crates/gateway/src/upstream/attempt.rs
@@ -0,0 +1,392 @@
+//! One attempt: a request written to a host, and what comes back, told apart by what it proves.
+
+use super::{Connection, Host, Pool};
+use crate::exchange::{Answer, Forward, Payload, Piece, Reply, Sending};
+use crate::limits::{MAX_BODY, MAX_LARGE};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::ext::on_informational;
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::response::Parts;
+use hyper::{Request, StatusCode};
+use ottervane::{LoadReport, Outcome};
+use ottervane_control::bodies::{Intake, Passage, Verdict, STALL};
+use std::cell::Cell;
+use std::future::{poll_fn, Future};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::task::Poll;
+use tokio::sync::{mpsc, Notify};
+use tokio::time::{sleep_until, timeout, Instant};
+
+/// The header of an answer that carries the host's load report.
+const LOAD: &str = "x-server-load";
+
+/// Headers that belong to one connection, or that each side words anew.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::CONTENT_LENGTH,
+    header::UPGRADE,
+    header::TE,
+    header::TRAILER,
+    header::EXPECT,
+    header::PROXY_AUTHORIZATION,
+];
+
+/// Removes what is meant for one connection only, the headers that `Connection` names included.
+fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in HOP_BY_HOP.iter().chain(&named) {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+}
+
+/// How an attempt ended.
+pub struct End {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The answer, where it was served.
+    pub answer: Option<Answer>,
+    /// The load report that came with an answer of any kind.
+    pub load: Option<LoadReport>,
+}
+
+/// When an attempt is given up; a body that is still coming moves it.
+#[derive(Debug)]
+pub struct Until {
+    at: Cell<Instant>,
+    moved: Notify,
+}
+
+impl Until {
+    /// At this moment.
+    pub fn new(at: Instant) -> Rc<Until> {
+        Rc::new(Until { at: Cell::new(at), moved: Notify::new() })
+    }
+
+    /// Moves it.
+    pub fn set(&self, at: Instant) {
+        self.at.set(at);
+        self.moved.notify_one();
+    }
+
+    fn get(&self) -> Instant {
+        self.at.get()
+    }
+
+    /// Waits for it. Cancel safe; for one waiter.
+    async fn passed(&self) {
+        while Instant::now() < self.get() {
+            tokio::select! {
+                () = sleep_until(self.get()) => {}
+                () = self.moved.notified() => {}
+            }
+        }
+    }
+}
+
+/// What becomes of an attempt on its way.
+pub enum Stage {
+    /// Some of a body that is not held has left.
+    Spent,
+    /// All of it has.
+    Complete,
+    /// The answer is passed on while it comes.
+    Started {
+        /// The answer.
+        answer: Box<Answer>,
+        /// When its first byte came.
+        first: Instant,
+        /// The load report that came with it.
+        load: Option<LoadReport>,
+    },
+}
+
+/// One attempt to have a request served.
+pub struct Attempt {
+    /// By whom.
+    pub host: Rc<Host>,
+    /// What is sent.
+    pub forward: Rc<Forward>,
+    /// When it is given up.
+    pub until: Rc<Until>,
+    /// Whether the request still wants an answer.
+    pub open: Rc<Cell<bool>>,
+    /// Calls the attempt off.
+    pub cancel: Rc<Notify>,
+}
+
+impl Pool {
+    /// Makes the attempt and tells how it ended. Its connection is closed by then, or idle in the pool.
+    pub async fn attempt(&self, attempt: &Attempt, tell: &dyn Fn(Stage)) -> End {
+        let (sent, load) = (Cell::new(false), Cell::new(None));
+        let (outcome, answer) = tokio::select! {
+            biased;
+            () = attempt.cancel.notified() => (Outcome::Cancelled, None),
+            got = self.exchange(attempt, &sent, &load, tell) => match got {
+                Ok(Got::Whole(answer)) => (Outcome::Served, Some(answer)),
+                // From here on nothing but the two sides ends it.
+                Ok(Got::Large(large)) => (self.pass_on(*large, &attempt.host, load.get(), tell).await, None),
+                Err(outcome) => (outcome, None),
+            },
+            () = attempt.until.passed() =>
+                (if sent.get() { Outcome::TimedOut } else { Outcome::NoConnection }, None),
+        };
+        End { outcome, answer, load: load.get() }
+    }
+
+    async fn exchange(
+        &self,
+        attempt: &Attempt,
+        sent: &Cell<bool>,
+        load: &Cell<Option<LoadReport>>,
+        tell: &dyn Fn(Stage),
+    ) -> Result<Got, Outcome> {
+        let Attempt { host, forward, until, open, .. } = attempt;
+        let mut connection = match self.reuse(host).await {
+            Some(connection) => connection,
+            None => self.dial(host, until.get()).await?,
+        };
+        // The request may have been answered, and the host begun to drain, while the connection came up.
+        if !open.get() || !host.takes_work.get() || Instant::now() >= until.get() {
+            self.put_back(connection, host).await;
+            return Err(Outcome::NotSent);
+        }
+        let mut request = request(forward, until.get());
+        let informed = Arc::new(AtomicBool::new(false));
+        let inform = informed.clone();
+        on_informational(&mut request, move |_| inform.store(true, Ordering::Relaxed));
+        connection.marks.written.set(false);
+        connection.marks.flushed.set(false);
+        connection.marks.read_since.set(None);
+        sent.set(true);
+        let begun = Instant::now();
+        let sending = connection.sender.send_request(request);
+        let answering = async {
+            let (head, body) = sending.await?.into_parts();
+            take_in(head, body).await
+        };
+        let late = sleep_until(until.get());
+        tokio::pin!(answering, late);
+        let (mut over, mut counted, mut passage) = (false, false, Passage::Intact);
+        let answered = poll_fn(|cx| {
+            if let Poll::Ready(answered) = answering.as_mut().poll(cx) {
+                return Poll::Ready(Some(answered));
+            }
+            over = over || connection.driver.as_mut().poll(cx).is_ready();
+            if let Payload::Coming(upload) = &forward.body {
+                let before = std::mem::replace(&mut passage, upload.passage());
+                if before == Passage::Intact && passage != before {
+                    tell(Stage::Spent);
+                }
+                if before != Passage::Complete && passage == Passage::Complete {
+                    tell(Stage::Complete);
+                }
+            } else {
+                passage = Passage::Complete;
+            }
+            if !counted && passage == Passage::Complete && connection.marks.flushed.get() {
+                counted = true;
+                self.figures.sent();
+            }
+            if let Poll::Ready(answered) = answering.as_mut().poll(cx) {
+                return Poll::Ready(Some(answered));
+            }
+            // A host that takes no more of a body that is not held has never had it whole.
+            if let (Payload::Coming(upload), None) = (&forward.body, connection.marks.read_since.get()) {
+                let Some(due) = upload.host_due() else { return Poll::Pending };
+                if late.deadline() != due {
+                    late.as_mut().reset(due);
+                }
+                return late.as_mut().poll(cx).map(|()| None);
+            }
+            if informed.swap(false, Ordering::Relaxed) {
+                connection.marks.read_since.set(None); // a 1xx: the answer itself has not begun
+            }
+            let Some(since) = connection.marks.read_since.get() else { return Poll::Pending };
+            let last = connection.marks.last_read.get().unwrap_or(since);
+            let silent = begun + Intake::due(since - begun, last.saturating_duration_since(begun));
+            if late.deadline() != silent {
+                late.as_mut().reset(silent);
+            }
+            late.as_mut().poll(cx).map(|()| None)
+        })
+        .await;
+        // What has not been written whole has never run: a host begins with the last byte.
+        let unwritten = !connection.marks.written.get() || passage != Passage::Complete;
+        let broken = if unwritten { Outcome::NoConnection } else { Outcome::Reset };
+        let answered = answered.ok_or(broken)?;
+        let (head, body) = answered.map_err(|_| broken)?;
+        // Said twice it is no report: nothing tells which of the two is the host's.
+        let mut reports = head.headers.get_all(LOAD).iter();
+        if let (Some(Ok(text)), None) = (reports.next().map(HeaderValue::to_str), reports.next()) {
+            load.set(self.terms.borrow().reports.in_text(text));
+        }
+        let body = match body {
+            Taken::Whole(body) => body,
+            Taken::Large { held, rest, said } if head.status == StatusCode::OK => {
+                let first = connection.marks.read_since.get().unwrap_or_else(Instant::now);
+                let mut headers = head.headers;
+                strip_hop_by_hop(&mut headers);
+                return Ok(Got::Large(Box::new(Large {
+                    connection,
+                    over,
+                    headers,
+                    first,
+                    held,
+                    rest,
+                    said,
+                })));
+            }
+            Taken::Broken => return Err(Outcome::Reset),
+            Taken::Large { .. } | Taken::TooLong => return Err(Outcome::Error),
+        };
+        if !over && passage == Passage::Complete {
+            self.put_back(connection, host).await;
+        }
+        match head.status {
+            StatusCode::OK => {
+                let mut headers = head.headers;
+                strip_hop_by_hop(&mut headers);
+                Ok(Got::Whole(Answer { headers, body: Reply::Whole(body) }))
+            }
+            // Only where the host says so is it sure that the request has not run.
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT
+                if head.headers.get("x-not-processed").is_some_and(|v| v == "1") =>
+            {
+                Err(Outcome::Rejected)
+            }
+            _ => Err(Outcome::Error),
+        }
+    }
+
+    /// Passes a large answer on as it comes, at the pace of the slower side, until it is whole or either side is gone.
+    async fn pass_on(
+        &self,
+        large: Large,
+        host: &Host,
+        load: Option<LoadReport>,
+        tell: &dyn Fn(Stage),
+    ) -> Outcome {
+        let Large { mut connection, mut over, headers, first, held, mut rest, said } = large;
+        let (pieces, receiver) = mpsc::channel(1);
+        let mut brought = held.len() as u64;
+        let _ = pieces.try_send(Piece::Data(held)); // there is room for one
+        let body = Reply::Coming { left: said, pieces: receiver, over: false, taken: None, guard: None };
+        tell(Stage::Started { answer: Box::new(Answer { headers, body }), first, load });
+        loop {
+            let frame = poll_fn(|cx| {
+                if let Poll::Ready(frame) = Pin::new(&mut rest).poll_frame(cx) {
+                    return Poll::Ready(frame);
+                }
+                over = over || connection.driver.as_mut().poll(cx).is_ready();
+                Pin::new(&mut rest).poll_frame(cx)
+            });
+            let frame = tokio::select! {
+                biased;
+                () = pieces.closed() => return Outcome::Cancelled,
+                frame = timeout(STALL, frame) => frame,
+            };
+            let data = match frame {
+                Ok(Some(Ok(frame))) => frame.into_data(),
+                Ok(None) => {
+                    let _ = timeout(STALL, pieces.send(Piece::End)).await;
+                    if !over {
+                        self.put_back(connection, host).await;
+                    }
+                    return Outcome::Served;
+                }
+                Ok(Some(Err(_))) | Err(_) => return Outcome::Reset,
+            };
+            let Ok(data) = data else { continue }; // trailers are this connection's own
+            brought += data.len() as u64;
+            if brought > MAX_LARGE {
+                return Outcome::Error;
+            }
+            if !matches!(timeout(STALL, pieces.send(Piece::Data(data))).await, Ok(Ok(()))) {
+                return Outcome::Cancelled;
+            }
+        }
+    }
+}
+
+/// What came of a request.
+enum Got {
+    /// A whole answer.
+    Whole(Answer),
+    /// One that is passed on while it comes.
+    Large(Box<Large>),
+}
+
+/// An answer that is too long to be held, and has begun to come.
+struct Large {
+    connection: Connection,
+    over: bool,
+    headers: HeaderMap,
+    first: Instant,
+    held: Bytes,
+    rest: Incoming,
+    said: Option<u64>,
+}
+
+/// What came of an answer's body.
+enum Taken {
+    Whole(Bytes),
+    Large { held: Bytes, rest: Incoming, said: Option<u64> },
+    TooLong,
+    Broken,
+}
+
+/// Takes an answer's body in until it is whole, or known to be longer than what is held.
+async fn take_in(head: Parts, mut body: Incoming) -> Result<(Parts, Taken), hyper::Error> {
+    let said = body.size_hint().exact();
+    let (start, mut intake, mut held) = (Instant::now(), Intake::new(said), BytesMut::new());
+    loop {
+        match intake.verdict(start.elapsed()) {
+            Verdict::Hold => {}
+            Verdict::PassOn => return Ok((head, Taken::Large { held: held.freeze(), rest: body, said })),
+            Verdict::Spoilt => return Ok((head, Taken::TooLong)),
+        }
+        match body.frame().await {
+            None => return Ok((head, Taken::Whole(held.freeze()))),
+            Some(Err(_)) => return Ok((head, Taken::Broken)),
+            Some(Ok(frame)) => {
+                let Ok(data) = frame.into_data() else { continue };
+                intake.came(start.elapsed(), data.len() as u64);
+                // The usual answer is one piece, and is not copied.
+                if held.is_empty() && said == Some(data.len() as u64) && data.len() <= MAX_BODY {
+                    return Ok((head, Taken::Whole(data)));
+                }
+                held.extend_from_slice(&data);
+            }
+        }
+    }
+}
+
+/// The request as it is written to a host that has until `until`.
+fn request(forward: &Forward, until: Instant) -> Request<Sending> {
+    let mut request = Request::new(Sending::new(&forward.body));
+    *request.method_mut() = forward.method.clone();
+    *request.uri_mut() = forward.uri.clone();
+    *request.headers_mut() = forward.headers.clone();
+    let wait = match &forward.body {
+        Payload::Whole(_) => until.saturating_duration_since(Instant::now()),
+        Payload::Coming(upload) => upload.patience, // from its last byte on
+    };
+    let wait = wait.as_micros();
+    if let Ok(wait) = HeaderValue::from_str(&format!("{wait}u")) {
+        request.headers_mut().insert("x-timeout", wait);
+    }
+    request
+}
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -1,23 +1,19 @@
 //! Connections to hosts: one attempt at a time on each, every attempt counted, every end told apart.
 
-use crate::exchange::{Answer, Forward, Payload, Piece, Reply, Sending};
+mod attempt;
+
+pub use attempt::{Attempt, End, Stage, Until};
+
+use crate::exchange::Sending;
 use crate::figures::Figures;
 use crate::framing::Framing;
-use crate::limits::{MAX_BODY, MAX_BUFFER, MAX_LARGE};
+use crate::limits::MAX_BUFFER;
 use crate::sockets::{Slot, Slots};
 use crate::wire::{Marks, Wire};
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::ext::on_informational;
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::http::response::Parts;
-use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use ottervane::report::ReportFields;
-use ottervane::{HostId, LoadReport, Outcome};
-use ottervane_control::bodies::{Intake, Passage, Verdict, STALL};
+use ottervane::{HostId, Outcome};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::future::{poll_fn, Future};
@@ -25,13 +21,10 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, Notify};
-use tokio::time::{sleep_until, timeout, timeout_at, Instant};
+use tokio::time::{timeout, timeout_at, Instant};
 
 /// A connection rests for so long between two requests: what a host sends beyond an answer comes right behind it, and
 /// must not be read as the answer to the next.
@@ -40,46 +33,6 @@
 /// Idle connections are looked at this often. One that has come back meanwhile is not watched until then.
 const LOOK: Duration = Duration::from_millis(50);
 
-/// The header of an answer that carries the host's load report.
-const LOAD: &str = "x-server-load";
-
-/// Headers that belong to one connection, or that each side words anew.
-const HOP_BY_HOP: [HeaderName; 8] = [
-    header::CONNECTION,
-    header::TRANSFER_ENCODING,
-    header::CONTENT_LENGTH,
-    header::UPGRADE,
-    header::TE,
-    header::TRAILER,
-    header::EXPECT,
-    header::PROXY_AUTHORIZATION,
-];
-
-/// Removes what is meant for one connection only, the headers that `Connection` names included.
-pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in HOP_BY_HOP.iter().chain(&named) {
-        headers.remove(name);
-    }
-    headers.remove("keep-alive");
-}
-
-/// How an attempt ended.
-pub struct End {
-    /// The outcome.
-    pub outcome: Outcome,
-    /// The answer, where it was served.
-    pub answer: Option<Answer>,
-    /// The load report that came with an answer of any kind.
-    pub load: Option<LoadReport>,
-}
-
 /// A host, as far as sending to it goes.
 #[derive(Debug)]
 pub struct Host {
@@ -91,71 +44,6 @@
     pub takes_work: Cell<bool>,
 }
 
-/// When an attempt is given up; a body that is still coming moves it.
-#[derive(Debug)]
-pub struct Until {
-    at: Cell<Instant>,
-    moved: Notify,
-}
-
-impl Until {
-    /// At this moment.
-    pub fn new(at: Instant) -> Rc<Until> {
-        Rc::new(Until { at: Cell::new(at), moved: Notify::new() })
-    }
-
-    /// Moves it.
-    pub fn set(&self, at: Instant) {
-        self.at.set(at);
-        self.moved.notify_one();
-    }
-
-    fn get(&self) -> Instant {
-        self.at.get()
-    }
-
-    /// Waits for it. Cancel safe; for one waiter.
-    async fn passed(&self) {
-        while Instant::now() < self.get() {
-            tokio::select! {
-                () = sleep_until(self.get()) => {}
-                () = self.moved.notified() => {}
-            }
-        }
-    }
-}
-
-/// What becomes of an attempt on its way.
-pub enum Stage {
-    /// Some of a body that is not held has left.
-    Spent,
-    /// All of it has.
-    Complete,
-    /// The answer is passed on while it comes.
-    Started {
-        /// The answer.
-        answer: Box<Answer>,
-        /// When its first byte came.
-        first: Instant,
-        /// The load report that came with it.
-        load: Option<LoadReport>,
-    },
-}
-
-/// One attempt to have a request served.
-pub struct Attempt {
-    /// By whom.
-    pub host: Rc<Host>,
-    /// What is sent.
-    pub forward: Rc<Forward>,
-    /// When it is given up.
-    pub until: Rc<Until>,
-    /// Whether the request still wants an answer.
-    pub open: Rc<Cell<bool>>,
-    /// Calls the attempt off.
-    pub cancel: Rc<Notify>,
-}
-
 /// A connection to a host. It is driven by whoever holds it and by no task of its own, so that dropping it
 /// closes the socket there and then: a later attempt must not find an earlier one still out.
 struct Connection {
@@ -196,30 +84,45 @@
     pub left: usize,
 }
 
+/// What the settings say of connections to hosts.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    /// One that is not up by then will not come up.
+    pub dial_timeout: Duration,
+    /// Hosts close what has been idle for so long.
+    pub keepalive: Duration,
+    /// How hosts word their load reports.
+    pub reports: ReportFields,
+}
+
+impl Terms {
+    /// What is kept for so long is let go: a request that crosses the host's close is lost to a reset, so this never comes near that
+    /// moment.
+    fn idle_most(&self) -> Duration {
+        self.keepalive / 2
+    }
+}
+
 /// All connections to hosts that are idle, the one used last at the end.
 pub struct Pool {
     idle: RefCell<VecDeque<Connection>>,
     /// Connections that their hosts ended and that were found so on reuse: told with the others.
     found: RefCell<Vec<(HostId, SocketAddr, Duration)>>,
-    reports: ReportFields,
+    terms: RefCell<Terms>,
     slots: Slots,
-    dial_timeout: Duration,
-    idle_most: Duration,
     figures: Rc<Figures>,
 }
 
 impl Pool {
-    /// An empty pool that opens at most `slots`. The hosts close what has been idle for `keepalive`.
-    pub fn new(
-        slots: Slots,
-        dial_timeout: Duration,
-        keepalive: Duration,
-        reports: ReportFields,
-        figures: Rc<Figures>,
-    ) -> Pool {
-        // A request that crosses the host's close is lost to a reset: never come near that moment.
+    /// An empty pool that opens at most `slots`.
+    pub fn new(slots: Slots, terms: Terms, figures: Rc<Figures>) -> Pool {
         let (idle, found) = Default::default();
-        Pool { idle, found, reports, slots, dial_timeout, idle_most: keepalive / 2, figures }
+        Pool { idle, found, terms: RefCell::new(terms), slots, figures }
+    }
+
+    /// Goes on under other terms; what is idle is held to them as well.
+    pub fn retune(&self, terms: Terms) {
+        self.terms.replace(terms);
     }
 
     /// Closes the idle connections to a host.
@@ -255,15 +158,15 @@
 
     /// Lets go what is no longer of use, and tells of what its host ended.
     fn let_go(&self, cx: &mut Context<'_>, tell: impl Fn(Closed)) {
-        let mut ended = self.found.take();
+        let (mut ended, idle_most) = (self.found.take(), self.terms.borrow().idle_most());
         let mut idle = self.idle.borrow_mut();
         idle.retain_mut(|connection| {
             let age = connection.idle_since.elapsed();
             let open = connection.driver.as_mut().poll(cx).is_pending();
-            if !open && age < self.idle_most && connection.was_silent() {
+            if !open && age < idle_most && connection.was_silent() {
                 ended.push((connection.host, connection.address, age));
             }
-            open && age < self.idle_most
+            open && age < idle_most
         });
         for (host, address, age) in ended {
             let left = idle.iter().filter(|c| c.host == host && c.address == address).count();
@@ -281,7 +184,7 @@
                 idle.remove(at)?
             };
             let age = connection.idle_since.elapsed();
-            if age >= self.idle_most || Some(connection.address) != host.address.get() {
+            if age >= self.terms.borrow().idle_most() || Some(connection.address) != host.address.get() {
                 continue;
             }
             if connection.is_open().await {
@@ -303,7 +206,7 @@
         // No room here says nothing of the host.
         let slot = slot.ok_or(Outcome::NotSent)?;
         tracing::debug!(host = %address, "dial");
-        let until = until.min(Instant::now() + self.dial_timeout);
+        let until = until.min(Instant::now() + self.terms.borrow().dial_timeout);
         let stream = match timeout_at(until, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if own_shortage(&error) => return Err(Outcome::NotSent),
@@ -320,198 +223,6 @@
         Ok(Connection { host: host.id, address, sender, driver, marks, idle_since, _slot: slot })
     }
 
-    /// Makes the attempt and tells how it ended. Its connection is closed by then, or idle in the pool.
-    pub async fn attempt(&self, attempt: &Attempt, tell: &dyn Fn(Stage)) -> End {
-        let (sent, load) = (Cell::new(false), Cell::new(None));
-        let (outcome, answer) = tokio::select! {
-            biased;
-            () = attempt.cancel.notified() => (Outcome::Cancelled, None),
-            got = self.exchange(attempt, &sent, &load, tell) => match got {
-                Ok(Got::Whole(answer)) => (Outcome::Served, Some(answer)),
-                // From here on nothing but the two sides ends it.
-                Ok(Got::Large(large)) => (self.pass_on(*large, &attempt.host, load.get(), tell).await, None),
-                Err(outcome) => (outcome, None),
-            },
-            () = attempt.until.passed() =>
-                (if sent.get() { Outcome::TimedOut } else { Outcome::NoConnection }, None),
-        };
-        End { outcome, answer, load: load.get() }
-    }
-
-    async fn exchange(
-        &self,
-        attempt: &Attempt,
-        sent: &Cell<bool>,
-        load: &Cell<Option<LoadReport>>,
-        tell: &dyn Fn(Stage),
-    ) -> Result<Got, Outcome> {
-        let Attempt { host, forward, until, open, .. } = attempt;
-        let mut connection = match self.reuse(host).await {
-            Some(connection) => connection,
-            None => self.dial(host, until.get()).await?,
-        };
-        // The request may have been answered, and the host begun to drain, while the connection came up.
-        if !open.get() || !host.takes_work.get() || Instant::now() >= until.get() {
-            self.put_back(connection, host).await;
-            return Err(Outcome::NotSent);
-        }
-        let mut request = request(forward, until.get());
-        let informed = Arc::new(AtomicBool::new(false));
-        let inform = informed.clone();
-        on_informational(&mut request, move |_| inform.store(true, Ordering::Relaxed));
-        connection.marks.written.set(false);
-        connection.marks.flushed.set(false);
-        connection.marks.read_since.set(None);
-        sent.set(true);
-        let begun = Instant::now();
-        let sending = connection.sender.send_request(request);
-        let answering = async {
-            let (head, body) = sending.await?.into_parts();
-            take_in(head, body).await
-        };
-        let late = sleep_until(until.get());
-        tokio::pin!(answering, late);
-        let (mut over, mut counted, mut passage) = (false, false, Passage::Intact);
-        let answered = poll_fn(|cx| {
-            if let Poll::Ready(answered) = answering.as_mut().poll(cx) {
-                return Poll::Ready(Some(answered));
-            }
-            over = over || connection.driver.as_mut().poll(cx).is_ready();
-            if let Payload::Coming(upload) = &forward.body {
-                let before = std::mem::replace(&mut passage, upload.passage());
-                if before == Passage::Intact && passage != before {
-                    tell(Stage::Spent);
-                }
-                if before != Passage::Complete && passage == Passage::Complete {
-                    tell(Stage::Complete);
-                }
-            } else {
-                passage = Passage::Complete;
-            }
-            if !counted && passage == Passage::Complete && connection.marks.flushed.get() {
-                counted = true;
-                self.figures.sent();
-            }
-            if let Poll::Ready(answered) = answering.as_mut().poll(cx) {
-                return Poll::Ready(Some(answered));
-            }
-            // A host that takes no more of a body that is not held has never had it whole.
-            if let (Payload::Coming(upload), None) = (&forward.body, connection.marks.read_since.get()) {
-                let Some(due) = upload.host_due() else { return Poll::Pending };
-                if late.deadline() != due {
-                    late.as_mut().reset(due);
-                }
-                return late.as_mut().poll(cx).map(|()| None);
-            }
-            if informed.swap(false, Ordering::Relaxed) {
-                connection.marks.read_since.set(None); // a 1xx: the answer itself has not begun
-            }
-            let Some(since) = connection.marks.read_since.get() else { return Poll::Pending };
-            let last = connection.marks.last_read.get().unwrap_or(since);
-            let silent = begun + Intake::due(since - begun, last.saturating_duration_since(begun));
-            if late.deadline() != silent {
-                late.as_mut().reset(silent);
-            }
-            late.as_mut().poll(cx).map(|()| None)
-        })
-        .await;
-        // What has not been written whole has never run: a host begins with the last byte.
-        let unwritten = !connection.marks.written.get() || passage != Passage::Complete;
-        let broken = if unwritten { Outcome::NoConnection } else { Outcome::Reset };
-        let answered = answered.ok_or(broken)?;
-        let (head, body) = answered.map_err(|_| broken)?;
-        // Said twice it is no report: nothing tells which of the two is the host's.
-        let mut reports = head.headers.get_all(LOAD).iter();
-        if let (Some(Ok(text)), None) = (reports.next().map(HeaderValue::to_str), reports.next()) {
-            load.set(self.reports.in_text(text));
-        }
-        let body = match body {
-            Taken::Whole(body) => body,
-            Taken::Large { held, rest, said } if head.status == StatusCode::OK => {
-                let first = connection.marks.read_since.get().unwrap_or_else(Instant::now);
-                let mut headers = head.headers;
-                strip_hop_by_hop(&mut headers);
-                return Ok(Got::Large(Box::new(Large {
-                    connection,
-                    over,
-                    headers,
-                    first,
-                    held,
-                    rest,
-                    said,
-                })));
-            }
-            Taken::Broken => return Err(Outcome::Reset),
-            Taken::Large { .. } | Taken::TooLong => return Err(Outcome::Error),
-        };
-        if !over && passage == Passage::Complete {
-            self.put_back(connection, host).await;
-        }
-        match head.status {
-            StatusCode::OK => {
-                let mut headers = head.headers;
-                strip_hop_by_hop(&mut headers);
-                Ok(Got::Whole(Answer { headers, body: Reply::Whole(body) }))
-            }
-            // Only where the host says so is it sure that the request has not run.
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT
-                if head.headers.get("x-not-processed").is_some_and(|v| v == "1") =>
-            {
-                Err(Outcome::Rejected)
-            }
-            _ => Err(Outcome::Error),
-        }
-    }
-
-    /// Passes a large answer on as it comes, at the pace of the slower side, until it is whole or either side is gone.
-    async fn pass_on(
-        &self,
-        large: Large,
-        host: &Host,
-        load: Option<LoadReport>,
-        tell: &dyn Fn(Stage),
-    ) -> Outcome {
-        let Large { mut connection, mut over, headers, first, held, mut rest, said } = large;
-        let (pieces, receiver) = mpsc::channel(1);
-        let mut brought = held.len() as u64;
-        let _ = pieces.try_send(Piece::Data(held)); // there is room for one
-        let body = Reply::Coming { left: said, pieces: receiver, over: false, taken: None, guard: None };
-        tell(Stage::Started { answer: Box::new(Answer { headers, body }), first, load });
-        loop {
-            let frame = poll_fn(|cx| {
-                if let Poll::Ready(frame) = Pin::new(&mut rest).poll_frame(cx) {
-                    return Poll::Ready(frame);
-                }
-                over = over || connection.driver.as_mut().poll(cx).is_ready();
-                Pin::new(&mut rest).poll_frame(cx)
-            });
-            let frame = tokio::select! {
-                biased;
-                () = pieces.closed() => return Outcome::Cancelled,
-                frame = timeout(STALL, frame) => frame,
-            };
-            let data = match frame {
-                Ok(Some(Ok(frame))) => frame.into_data(),
-                Ok(None) => {
-                    let _ = timeout(STALL, pieces.send(Piece::End)).await;
-                    if !over {
-                        self.put_back(connection, host).await;
-                    }
-                    return Outcome::Served;
-                }
-                Ok(Some(Err(_))) | Err(_) => return Outcome::Reset,
-            };
-            let Ok(data) = data else { continue }; // trailers are this connection's own
-            brought += data.len() as u64;
-            if brought > MAX_LARGE {
-                return Outcome::Error;
-            }
-            if !matches!(timeout(STALL, pieces.send(Piece::Data(data))).await, Ok(Ok(()))) {
-                return Outcome::Cancelled;
-            }
-        }
-    }
-
     async fn put_back(&self, mut connection: Connection, host: &Host) {
         if host.takes_work.get() && connection.is_open().await {
             connection.idle_since = Instant::now();
@@ -520,76 +231,6 @@
     }
 }
 
-/// What came of a request.
-enum Got {
-    /// A whole answer.
-    Whole(Answer),
-    /// One that is passed on while it comes.
-    Large(Box<Large>),
-}
-
-/// An answer that is too long to be held, and has begun to come.
-struct Large {
-    connection: Connection,
-    over: bool,
-    headers: HeaderMap,
-    first: Instant,
-    held: Bytes,
-    rest: Incoming,
-    said: Option<u64>,
-}
-
-/// What came of an answer's body.
-enum Taken {
-    Whole(Bytes),
-    Large { held: Bytes, rest: Incoming, said: Option<u64> },
-    TooLong,
-    Broken,
-}
-
-/// Takes an answer's body in until it is whole, or known to be longer than what is held.
-async fn take_in(head: Parts, mut body: Incoming) -> Result<(Parts, Taken), hyper::Error> {
-    let said = body.size_hint().exact();
-    let (start, mut intake, mut held) = (Instant::now(), Intake::new(said), BytesMut::new());
-    loop {
-        match intake.verdict(start.elapsed()) {
-            Verdict::Hold => {}
-            Verdict::PassOn => return Ok((head, Taken::Large { held: held.freeze(), rest: body, said })),
-            Verdict::Spoilt => return Ok((head, Taken::TooLong)),
-        }
-        match body.frame().await {
-            None => return Ok((head, Taken::Whole(held.freeze()))),
-            Some(Err(_)) => return Ok((head, Taken::Broken)),
-            Some(Ok(frame)) => {
-                let Ok(data) = frame.into_data() else { continue };
-                intake.came(start.elapsed(), data.len() as u64);
-                // The usual answer is one piece, and is not copied.
-                if held.is_empty() && said == Some(data.len() as u64) && data.len() <= MAX_BODY {
-                    return Ok((head, Taken::Whole(data)));
-                }
-                held.extend_from_slice(&data);
-            }
-        }
-    }
-}
-
-/// The request as it is written to a host that has until `until`.
-fn request(forward: &Forward, until: Instant) -> Request<Sending> {
-    let mut request = Request::new(Sending::new(&forward.body));
-    *request.method_mut() = forward.method.clone();
-    *request.uri_mut() = forward.uri.clone();
-    *request.headers_mut() = forward.headers.clone();
-    let wait = match &forward.body {
-        Payload::Whole(_) => until.saturating_duration_since(Instant::now()),
-        Payload::Coming(upload) => upload.patience, // from its last byte on
-    };
-    let wait = wait.as_micros();
-    if let Ok(wait) = HeaderValue::from_str(&format!("{wait}u")) {
-        request.headers_mut().insert("x-timeout", wait);
-    }
-    request
-}
-
 /// Whether the error tells of this machine, not of the host: no descriptor, port or memory left.
 fn own_shortage(error: &io::Error) -> bool {
     const ENFILE: i32 = 23;
@@ -603,7 +244,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::exchange::Forward;
     use crate::sockets::Budget;
+    use hyper::HeaderMap;
+    use ottervane::LoadReport;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
 
@@ -621,8 +265,11 @@
         let settings = r#"{"stats":{"how":"inline","fields":["throughput","outstanding"]}}"#;
         let fields = ReportFields::parse(settings).expect("settings");
         let (dial, keep) = (Duration::from_secs(5), Duration::from_secs(10));
-        let pool =
-            Pool::new(Budget::new(&Default::default(), false).hosts, dial, keep, fields, Rc::default());
+        let pool = Pool::new(
+            Budget::new(&Default::default(), false).hosts,
+            Terms { dial_timeout: dial, keepalive: keep, reports: fields },
+            Rc::default(),
+        );
         let (method, uri) = (hyper::Method::GET, hyper::Uri::from_static("/look"));
         let forward = Forward { method, uri, headers: HeaderMap::new(), body: Default::default() };
         let attempt = Attempt {
@@ -659,15 +306,13 @@
     }
 
     /// Has a request served, does `then` with the host's end of the connection, and gives what the pool tells of it.
-    async fn told_after(then: impl AsyncFnOnce(&mut tokio::net::TcpStream)) -> Option<Closed> {
+    async fn told_after(then: impl AsyncFnOnce(&Pool, &mut tokio::net::TcpStream)) -> Option<Closed> {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = Cell::new(Some(listener.local_addr().expect("an address")));
         let (dial, keep) = (Duration::from_secs(5), Duration::from_secs(60));
         let pool = Pool::new(
             Budget::new(&Default::default(), false).hosts,
-            dial,
-            keep,
-            ReportFields::default(),
+            Terms { dial_timeout: dial, keepalive: keep, reports: ReportFields::default() },
             Rc::default(),
         );
         let (method, uri) = (hyper::Method::GET, hyper::Uri::from_static("/look"));
@@ -692,7 +337,7 @@
             () = pool.sweep(|closed| told.set(Some(closed))) => {}
             () = async {
                 tokio::time::sleep(4 * LOOK).await; // it is being watched by now
-                then(&mut stream).await;
+                then(&pool, &mut stream).await;
                 let begun = Instant::now();
                 while told.get().is_none() && begun.elapsed() < Duration::from_secs(2) {
                     tokio::time::sleep(Duration::from_millis(5)).await;
@@ -704,11 +349,26 @@
 
     #[tokio::test]
     async fn an_end_by_the_host_is_told_and_noise_is_not() {
-        let ended = told_after(async |stream| stream.shutdown().await.expect("an end")).await;
+        let ended = told_after(async |_, stream| stream.shutdown().await.expect("an end")).await;
         let Closed { host, idle, left, .. } = ended.expect("told");
         assert_eq!((host, left), (HostId(3), 0));
         assert!(idle >= 4 * LOOK, "{idle:?}");
-        assert_eq!(told_after(async |stream| stream.write_all(b"noise").await.expect("written")).await, None);
-        assert_eq!(told_after(async |_| {}).await, None);
+        assert_eq!(
+            told_after(async |_, stream| stream.write_all(b"noise").await.expect("written")).await,
+            None
+        );
+        assert_eq!(told_after(async |_, _| {}).await, None);
+    }
+
+    #[tokio::test]
+    async fn what_is_idle_is_held_to_the_new_keep_alive() {
+        let told = told_after(async |pool, stream| {
+            let keepalive = Duration::from_millis(10);
+            let terms = Terms { keepalive, ..pool.terms.borrow().clone() };
+            pool.retune(terms);
+            let read = timeout(Duration::from_secs(30), stream.read(&mut [0; 1])).await;
+            assert!(matches!(read, Ok(Ok(0))), "its end: {read:?}");
+        });
+        assert_eq!(told.await, None, "the host had no part in it");
     }
 }
--- a/tests/coming.rs
+++ b/tests/coming.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{host, settings};
+use common::{host, settings, Bench};
 use ottervane::*;
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -11,55 +11,23 @@
 const MS: fn(u64) -> Duration = Duration::from_millis;
 const FAR: Duration = Duration::from_secs(1000);
 
-struct Bench {
-    b: Balancer,
-    now: Duration,
-    last: Vec<Action>,
+trait Coming {
+    /// A request with this number; the host it was sent to, if any.
+    fn ask(&mut self, id: u64, class: usize, coming: bool) -> Option<u32>;
 }
 
-impl Bench {
-    fn new(settings: Settings, hosts: u32) -> Bench {
-        let mut bench =
-            Bench { b: Balancer::new(settings, 7), now: Duration::from_secs(5), last: Vec::new() };
-        let list: Vec<Host> = (0..hosts).map(|i| Host { zone: 0, ..host(i, None) }).collect();
-        bench.give(Event::Hosts { full: true, hosts: &list });
-        bench
-    }
-
-    fn give(&mut self, event: Event<'_>) {
-        self.last.clear();
-        self.b.handle(self.now, event, &mut self.last);
-    }
-
-    /// A request; the host it was sent to, if any.
+impl Coming for Bench {
     fn ask(&mut self, id: u64, class: usize, coming: bool) -> Option<u32> {
         let give_up = if coming { self.now + FAR } else { self.now + MS(1200) };
         self.give(Event::Request(Request { coming, ..Request::new(RequestId(id), class, give_up) }));
-        self.sent()
-    }
-
-    fn sent(&self) -> Option<u32> {
-        self.last.iter().find_map(|a| if let Action::Send { host, .. } = a { Some(host.0) } else { None })
-    }
-
-    fn end(&mut self, id: u64, latency: Duration, outcome: Outcome) {
-        let over = outcome == Outcome::Served;
-        self.give(Event::Outcome { request: RequestId(id), attempt: 0, latency, outcome, over });
-    }
-
-    fn serve(&mut self, ids: std::ops::Range<u64>, took: Duration) {
-        for id in ids {
-            self.ask(id, 0, false).expect("a host");
-            self.now += took;
-            self.end(id, took, Outcome::Served);
-        }
+        self.sent_to()
     }
 }
 
 #[test]
 fn a_body_on_its_way_has_no_time_and_its_host_is_not_blamed_for_it() {
     let mut bench = Bench::new(settings(), 2);
-    bench.serve(1..20, MS(20));
+    bench.serve(19, |_| 20);
     let busy = bench.ask(100, 4, true).expect("a host");
     // It comes for ten seconds. All the while its host is as good as the other one.
     let mut met = [0; 2];
@@ -68,7 +36,7 @@
         let host = bench.ask(id, 0, false).expect("a host");
         met[host as usize] += 1;
         bench.now += MS(20);
-        bench.end(id, MS(20), Outcome::Served);
+        bench.outcome(id, 0, MS(20), Outcome::Served);
     }
     assert!(met.iter().all(|n| *n > 20), "{met:?}, and host {busy} has the body");
     assert!(!bench.last.iter().any(|a| matches!(a, Action::Refuse { .. } | Action::Fail { .. })));
@@ -94,15 +62,15 @@
         (4, Outcome::Reset, true),
     ] {
         let mut bench = Bench::new(settings(), 5);
-        bench.serve(1..40, MS(20));
+        bench.serve(39, |_| 20);
         bench.ask(100, class, true).expect("a host");
         if spent {
             bench.give(Event::Spent { request: RequestId(100) });
         }
-        bench.end(100, MS(30), how);
+        bench.outcome(100, 0, MS(30), how);
         let answer = bench.last.iter().find(|a| matches!(a, Action::Refuse { .. } | Action::Fail { .. }));
         match (spent, class, how) {
-            (false, ..) => assert!(bench.sent().is_some(), "{:?}", bench.last),
+            (false, ..) => assert!(bench.sent_to().is_some(), "{:?}", bench.last),
             // An unsafe one that may have run is not said to be harmless to try again.
             (true, 4, Outcome::Reset) => {
                 assert!(matches!(answer, Some(Action::Fail { .. })), "{:?}", bench.last)
@@ -115,7 +83,7 @@
 #[test]
 fn an_answer_that_has_begun_is_booked_at_its_first_byte() {
     let mut bench = Bench::new(Settings { second_copies: true, ..settings() }, 2);
-    bench.serve(1..40, MS(20));
+    bench.serve(39, |_| 20);
     bench.ask(100, 0, false).expect("a host");
     bench.now += MS(25);
     bench.give(Event::Started { request: RequestId(100), attempt: 0, latency: MS(20) });
@@ -126,10 +94,10 @@
         bench.now += MS(700);
         met[bench.ask(id, 0, false).expect("a host") as usize] += 1;
         bench.now += MS(20);
-        bench.end(id, MS(20), Outcome::Served);
+        bench.outcome(id, 0, MS(20), Outcome::Served);
     }
     assert!(met.iter().all(|n| *n > 8), "{met:?}");
-    bench.end(100, Duration::from_secs(28), Outcome::Reset);
+    bench.outcome(100, 0, Duration::from_secs(28), Outcome::Reset);
     assert!(bench.last.is_empty(), "it was through with it");
 }
 
@@ -145,7 +113,7 @@
             let host = bench.ask(id, 0, false).expect("a host");
             met[host as usize] += 1;
             bench.now += MS(ms(host));
-            bench.end(id, MS(ms(host)), Outcome::Served);
+            bench.outcome(id, 0, MS(ms(host)), Outcome::Served);
         }
         met
     };
@@ -168,7 +136,7 @@
 fn new_settings_leave_open_requests_their_rules_and_hosts_their_history() {
     let old = Settings { max_attempts: 3, second_copies: false, ..settings() };
     let mut bench = Bench::new(old.clone(), 4);
-    bench.serve(1..80, MS(20));
+    bench.serve(79, |_| 20);
     bench.ask(100, 1, false).expect("a host");
     let mut new = old;
     new.classes[1].dropped = true;
@@ -176,11 +144,11 @@
     new.max_attempts = 1;
     bench.b.retune(new);
     // The open one may be tried again, as a keyed request with attempts left.
-    bench.end(100, MS(20), Outcome::Reset);
-    assert!(bench.sent().is_some(), "{:?}", bench.last);
+    bench.outcome(100, 0, MS(20), Outcome::Reset);
+    assert!(bench.sent_to().is_some(), "{:?}", bench.last);
     bench.ask(101, 6, false).expect("a host");
-    bench.end(101, MS(20), Outcome::NoConnection);
-    assert!(bench.sent().is_none(), "one attempt by the new settings");
+    bench.outcome(101, 0, MS(20), Outcome::NoConnection);
+    assert!(bench.sent_to().is_none(), "one attempt by the new settings");
 }
 
 proptest! {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -354,3 +354,62 @@
 pub fn host(i: u32, started: Option<Duration>) -> Host {
     Host { zone: i % 2, cell: i / 3, started, ..Host::new(HostId(i), &format!("10.0.0.{i}:80")) }
 }
+
+/// One module, told one thing after another.
+pub struct Bench {
+    pub b: Balancer,
+    pub now: Duration,
+    pub id: u64,
+    pub last: Vec<Action>,
+}
+
+impl Bench {
+    pub fn new(settings: Settings, hosts: u32) -> Self {
+        Bench::seeded(settings, hosts, 1)
+    }
+
+    pub fn seeded(settings: Settings, hosts: u32, seed: u64) -> Self {
+        let mut bench =
+            Bench { b: Balancer::new(settings, seed), now: Duration::from_secs(5), id: 0, last: vec![] };
+        let list: Vec<Host> = (0..hosts).map(|i| Host { zone: 0, ..host(i, None) }).collect();
+        bench.give(Event::Hosts { full: true, hosts: &list });
+        bench
+    }
+
+    pub fn give(&mut self, event: Event<'_>) {
+        self.last.clear();
+        self.b.handle(self.now, event, &mut self.last);
+    }
+
+    /// A new request; the host it was sent to, if any.
+    pub fn request(&mut self, class: usize, key: Option<u64>) -> Option<u32> {
+        self.id += 1;
+        let mut r = Request::new(RequestId(self.id), class, self.now + Duration::from_secs(1));
+        r.key = key;
+        self.give(Event::Request(r));
+        self.sent_to()
+    }
+
+    pub fn sent_to(&self) -> Option<u32> {
+        self.last.iter().find_map(|a| if let Action::Send { host, .. } = a { Some(host.0) } else { None })
+    }
+
+    pub fn outcome(&mut self, id: u64, attempt: u32, latency: Duration, outcome: Outcome) {
+        let over = outcome == Outcome::Served;
+        let request = RequestId(id);
+        self.give(Event::Outcome { request, attempt, latency, outcome, over });
+    }
+
+    /// `n` requests one after another, each host taking its own time.
+    pub fn serve(&mut self, n: u32, ms: impl Fn(u32) -> u64) -> Vec<u32> {
+        let mut counts = vec![0; 64];
+        for _ in 0..n {
+            let host = self.request(0, None).expect("a host is ready");
+            counts[host as usize] += 1;
+            let took = Duration::from_millis(ms(host));
+            self.now += took;
+            self.outcome(self.id, 0, took, Outcome::Served);
+        }
+        counts
+    }
+}
