Leave a replacing process the descriptors the other has not open, in place of a fixed half

Ruled out: admission (a test with 160 hosts under one, so that the module lets all clients in at once, fails the same way: 24 of 80 clients turned away, router_deferred 24).

At fault: Budget::share halved every kind of descriptor from the moment the second process came, so that the old one refused whoever was beyond its half while the new one had nobody (sockets.rs, Slots::halve), and stand_by looked every 250 ms, longer than the old process's clients need to come over.

Now each process says in its lock file what it has open and leaves the other that much; they look every 10 ms while there are two; the old one gives its lock up at SIGTERM.

--- a/crates/control/src/handover.rs
+++ b/crates/control/src/handover.rs
@@ -132,3 +132,44 @@
         }
     }
 }
+
+/// Two processes look for each other so often that the one that stays has all descriptors before the clients that the other sends
+/// away come to it: those are answered goodbye within milliseconds. One that is alone has time.
+pub fn look_again(other: bool) -> Duration {
+    Duration::from_millis(if other { 10 } else { 250 })
+}
+
+/// How many descriptors a process has open, by what for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Held {
+    /// Connections of clients.
+    pub clients: usize,
+    /// Those that are taken in only to be told that there is no room.
+    pub overflow: usize,
+    /// Connections to hosts.
+    pub hosts: usize,
+}
+
+impl Held {
+    /// Its text: always as long, so that a newer one stands whole in the place of an older one.
+    pub fn text(self) -> String {
+        let within = |count: usize| count.min(999_999);
+        format!("{:06} {:06} {:06}\n", within(self.clients), within(self.overflow), within(self.hosts))
+    }
+
+    /// Reads such a text; none where it is another, or not whole.
+    pub fn read(text: &str) -> Option<Held> {
+        let mut counts = text
+            .strip_suffix('\n')?
+            .split(' ')
+            .map(|count| (count.len() == 6).then_some(count)?.parse().ok());
+        let held = Held { clients: counts.next()??, overflow: counts.next()??, hosts: counts.next()?? };
+        counts.next().is_none().then_some(held)
+    }
+}
+
+/// What one process may have open of a limit that both keep: what the other one has not. A fixed half would refuse clients that hold
+/// more than half at the one while the other has none yet.
+pub fn left(most: usize, other: usize) -> usize {
+    most.saturating_sub(other)
+}
--- a/crates/control/tests/handover.rs
+++ b/crates/control/tests/handover.rs
@@ -1,7 +1,7 @@
 //! What one process writes is read back by the next, whole or not at all.
 
 use ottervane::{HostMemory, Memory};
-use ottervane_control::handover::{read, write, Awaited, Entry, Unfit, LONGEST, OLDEST};
+use ottervane_control::handover::{left, read, write, Awaited, Entry, Held, Unfit, LONGEST, OLDEST};
 use proptest::prelude::*;
 use std::time::Duration;
 
@@ -89,3 +89,29 @@
         assert_eq!(Entry { shared: false, ..entry }.awaits(NOW + ms(after), heard, hosts), None);
     }
 }
+
+proptest! {
+    #[test]
+    fn counts_are_read_back_or_passed_over(clients in 0usize..2_000_000, overflow in 0usize..100, hosts in 0usize..5000, cut in 0usize..21, noise in ".{0,24}") {
+        let held = Held { clients, overflow, hosts };
+        let text = held.text();
+        prop_assert_eq!(Held::read(&text), Some(Held { clients: clients.min(999_999), ..held }));
+        prop_assert_eq!(Held::read(&text[..cut.min(text.len() - 1)]), None);
+        let _ = Held::read(&noise);
+    }
+
+    /// Both together never have more than there are, whoever takes what in which order, as long as each knows of the other.
+    #[test]
+    fn two_that_know_of_each_other_stay_within_one_limit(most in 1usize..200, takes in prop::collection::vec((any::<bool>(), any::<bool>()), 0..400)) {
+        let mut open = [0usize; 2];
+        for (who, takes) in takes {
+            let (own, other) = (open[usize::from(who)], open[usize::from(!who)]);
+            match takes {
+                true if own < left(most, other) => open[usize::from(who)] += 1,
+                false if own > 0 => open[usize::from(who)] -= 1,
+                _ => {}
+            }
+            prop_assert!(open[0] + open[1] <= most);
+        }
+    }
+}
--- a/crates/gateway/src/daemon/handover.rs
+++ b/crates/gateway/src/daemon/handover.rs
@@ -2,11 +2,13 @@
 //! file in which the old one keeps what the new one should know. Nobody waits for anybody.
 
 use crate::core::messages::{Handle, Message};
+use crate::daemon::service::Service;
 use crate::sockets::Budget;
 use ottervane::Memory;
-use ottervane_control::handover::{self, Unfit, EVERY, LONGEST};
+use ottervane_control::handover::{self, look_again, Held, Unfit, EVERY, LONGEST};
 use std::fs::{self, File, TryLockError};
 use std::io::{self, Read};
+use std::os::unix::fs::FileExt;
 use std::path::Path;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
@@ -14,12 +16,10 @@
 
 /// What is known, whole at any time.
 const MEMORY: &str = "ottervane.memory";
-/// Held by the process that serves, for its life.
+/// Held by the process that serves, until it is told to stop.
 const SERVES: &str = "ottervane.serves";
 /// Held by one that has come to replace it, until it gets the other.
 const FOLLOWS: &str = "ottervane.follows";
-/// Each looks for the other this often.
-const LOOK: Duration = Duration::from_millis(250);
 
 fn unix() -> Duration {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
@@ -77,28 +77,29 @@
     Follows(Option<File>),
 }
 
-/// Looks for another process of this gateway, for as long as it runs. While there is one, each has half of the descriptors. The one
-/// that serves writes down what it knows.
-pub async fn stand_by(folder: &Path, gateway: &Handle, budget: &Budget) {
+/// Looks for another process of this gateway, until this one is told to stop. While there is one, each says what it has open, and
+/// leaves the other that much of the descriptors. The one that serves writes down what it knows.
+pub async fn stand_by(folder: &Path, gateway: &Handle, budget: &Budget, service: &Service) {
     let mut place = Place::Follows(None);
     let (mut written, mut shared) = (None, None);
     loop {
-        let looked = look(folder, place);
+        let looked = look(folder, place, budget.held());
         let (now_at, other) = match looked {
             Ok(found) => found,
             Err(error) => {
                 // Without the folder it is as if there were no other; both hold to their limits still.
                 warn!(%error, folder = %folder.display(), "the folder shared with the next process can't be used: it starts from nothing");
-                budget.share(false);
-                return;
+                return budget.share(Held::default());
             }
         };
         place = now_at;
-        if shared.replace(other) != Some(other) {
-            budget.share(other);
+        budget.share(other.unwrap_or_default());
+        if shared.replace(other.is_some()) != Some(other.is_some()) {
             match other {
-                true => info!("another process of this gateway is there: each holds half of the descriptors until one has gone"),
-                false => info!("no other process of this gateway: all descriptors are this one's"),
+                Some(_) => info!(
+                    "another process of this gateway is there: what it has open of the descriptors is left to it"
+                ),
+                None => info!("no other process of this gateway: all descriptors are this one's"),
             }
         }
         let due = written.is_none_or(|at: tokio::time::Instant| at.elapsed() >= EVERY);
@@ -112,29 +113,40 @@
             }
             written = Some(tokio::time::Instant::now());
         }
-        tokio::time::sleep(LOOK).await;
+        tokio::select! {
+            () = tokio::time::sleep(look_again(other.is_some())) => {}
+            // It takes nobody in any more: what its clients leave is the other's to give them.
+            () = service.stopped.notified() => return drop(place),
+        }
     }
 }
 
-/// Where it stands now, and whether there is another.
-fn look(folder: &Path, place: Place) -> io::Result<(Place, bool)> {
-    match place {
-        Place::Serves(held) => {
+/// Where it stands now, and what another one has open, if there is one. What it has open itself is said.
+fn look(folder: &Path, place: Place, own: Held) -> io::Result<(Place, Option<Held>)> {
+    let place = match place {
+        Place::Serves(held) => Place::Serves(held),
+        Place::Follows(held) => match lock(folder, SERVES)? {
+            Some(serves) => Place::Serves(serves),
+            None if held.is_some() => Place::Follows(held),
+            None => Place::Follows(lock(folder, FOLLOWS)?),
+        },
+    };
+    let other = match &place {
+        Place::Serves(file) => {
+            file.write_all_at(own.text().as_bytes(), 0)?;
             // Taken for a moment only, and free again before anything else runs.
-            let follower = lock(folder, FOLLOWS)?.is_none();
-            Ok((Place::Serves(held), follower))
+            lock(folder, FOLLOWS)?.is_none().then_some(FOLLOWS)
         }
-        Place::Follows(held) => match lock(folder, SERVES)? {
-            Some(serves) => Ok((Place::Serves(serves), false)),
-            None => {
-                let held = match held {
-                    Some(held) => Some(held),
-                    None => lock(folder, FOLLOWS)?,
-                };
-                Ok((Place::Follows(held), true))
+        Place::Follows(file) => {
+            if let Some(file) = file {
+                file.write_all_at(own.text().as_bytes(), 0)?;
             }
-        },
-    }
+            Some(SERVES)
+        }
+    };
+    // One that has just come has said nothing yet, and has nothing.
+    let says = |name: &str| fs::read_to_string(folder.join(name)).ok().and_then(|text| Held::read(&text));
+    Ok((place, other.map(|name| says(name).unwrap_or_default())))
 }
 
 #[cfg(test)]
@@ -146,21 +158,25 @@
     fn each_knows_of_the_other_until_it_has_gone() {
         let folder = std::env::temp_dir().join(format!("ottervane-places-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a folder");
-        let step = |place| look(&folder, place).expect("the folder can be used");
+        let step = |place| {
+            let (place, other) =
+                look(&folder, place, Held { clients: 7, ..Held::default() }).expect("the folder can be used");
+            (place, other.map(|held| held.clients))
+        };
         let (old, other) = step(Place::Follows(None));
-        assert!(matches!(old, Place::Serves(_)) && !other, "alone");
+        assert!(matches!(old, Place::Serves(_)) && other.is_none(), "alone");
         let (new, other) = step(Place::Follows(None));
-        assert!(matches!(new, Place::Follows(Some(_))) && other);
+        assert!(matches!(new, Place::Follows(Some(_))) && other == Some(7), "it says what it has open");
         let (old, other) = step(old);
-        assert!(other, "the old one sees it come");
+        assert_eq!(other, Some(7), "the old one sees it come");
         let (third, other) = step(Place::Follows(None));
-        assert!(matches!(third, Place::Follows(None)) && other);
+        assert!(matches!(third, Place::Follows(None)) && other == Some(7));
         drop(old);
         let (new, other) = step(new);
-        assert!(matches!(new, Place::Serves(_)) && !other, "as if it were alone, until it looks again");
+        assert!(matches!(new, Place::Serves(_)) && other.is_none());
         let (third, _) = step(third);
         assert!(matches!(third, Place::Follows(Some(_))));
-        assert!(step(new).1, "and then it sees the third");
+        assert_eq!(step(new).1, Some(7), "and then it sees the third");
         drop(third);
         assert!(lock(&folder, SERVES).expect("the folder").is_some(), "nothing outlives those who held it");
         let _ = fs::remove_dir_all(&folder);
--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -178,7 +178,7 @@
     let mut known_before = folder.as_deref().and_then(handover::read);
     let handing = async {
         if let Some(folder) = &folder {
-            handover::stand_by(folder, &handle, &budget).await;
+            handover::stand_by(folder, &handle, &budget, &service).await;
         }
     };
     let running = async {
--- a/crates/gateway/src/daemon/service.rs
+++ b/crates/gateway/src/daemon/service.rs
@@ -21,6 +21,8 @@
     entry: Entry,
     /// Wakes who waits for the next change of the drain.
     pub changed: Notify,
+    /// Wakes who waits for the end of its service.
+    pub stopped: Notify,
     /// The figures.
     pub figures: Rc<Figures>,
 }
@@ -37,6 +39,7 @@
             hosts_up,
             entry: Entry { shared: terms.shared, since: Duration::ZERO },
             changed: Notify::new(),
+            stopped: Notify::new(),
             figures,
         }
     }
@@ -75,6 +78,7 @@
     /// Ends its service.
     pub fn stop(&self) {
         self.drain.borrow_mut().stop(self.now());
+        self.stopped.notify_one();
         if let Some(by) = self.drain.borrow().answers_by() {
             self.gateway.set_answers_by(self.start + by);
         }
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -1,6 +1,7 @@
 //! The budget of descriptors: a fixed share for clients and one for hosts, so that neither starves the other.
 
 use crate::limits::{Limits, MAX_BODY, MAX_BUFFER};
+use ottervane_control::handover::{left, Held};
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -26,13 +27,13 @@
 pub struct Slots {
     open: Rc<Cell<usize>>,
     most: usize,
-    /// Whether only half of them may be open, for another process has the other half.
-    halved: Rc<Cell<bool>>,
+    /// How many of them another process of this gateway has open.
+    elsewhere: Rc<Cell<usize>>,
 }
 
 impl Slots {
     fn new(most: usize) -> Slots {
-        Slots { open: Rc::default(), most, halved: Rc::default() }
+        Slots { open: Rc::default(), most, elsewhere: Rc::default() }
     }
 
     /// Takes a descriptor, if one is left.
@@ -43,18 +44,9 @@
         })
     }
 
-    /// How many there are.
+    /// How many there are for this process.
     pub fn most(&self) -> usize {
-        if self.halved.get() {
-            self.most.div_ceil(2)
-        } else {
-            self.most
-        }
-    }
-
-    /// Halves the number, or makes it whole again. What is open stays open.
-    fn halve(&self, halved: bool) {
-        self.halved.set(halved);
+        left(self.most, self.elsewhere.get())
     }
 
     /// Whether the descriptor is one of these.
@@ -89,11 +81,18 @@
 }
 
 impl Budget {
-    /// Leaves half of the clients' and hosts' descriptors to another process, or takes them back.
-    pub fn share(&self, shared: bool) {
-        for slots in [&self.clients, &self.overflow, &self.hosts] {
-            slots.halve(shared);
-        }
+    /// What this process has open.
+    pub fn held(&self) -> Held {
+        let [clients, overflow, hosts] =
+            [&self.clients, &self.overflow, &self.hosts].map(|slots| slots.open.get());
+        Held { clients, overflow, hosts }
+    }
+
+    /// Leaves another process what it has open. What is open here stays open.
+    pub fn share(&self, other: Held) {
+        self.clients.elsewhere.set(other.clients);
+        self.overflow.elsewhere.set(other.overflow);
+        self.hosts.elsewhere.set(other.hosts);
     }
 
     /// Shares out what the limits allow: of the memory, clients together may fill three quarters.
@@ -123,22 +122,20 @@
     use super::*;
 
     #[test]
-    fn half_is_left_to_another_process_and_taken_back() {
+    fn what_another_process_has_open_is_left_to_it() {
         let budget = Budget::new(&Limits { memory_mb: 192, sockets: 1024 }, true);
         let whole = budget.clients.most();
         let mut held: Vec<_> = (0..whole).map(|_| budget.clients.take().expect("a place")).collect();
         assert!(budget.clients.take().is_none());
-        budget.share(true);
-        assert_eq!(budget.clients.most(), whole.div_ceil(2));
-        assert_eq!(
-            budget.management.most(),
-            Budget::new(&Limits::default(), true).management.most(),
-            "staff keep theirs"
-        );
-        held.truncate(whole / 4 * 3);
-        assert!(budget.clients.take().is_none(), "more than half is open still, and nothing is cut off");
-        budget.share(false);
+        assert_eq!(budget.held(), Held { clients: whole, overflow: 0, hosts: 0 });
+        budget.share(Held { clients: 10, overflow: 1, hosts: 2 });
+        assert_eq!((budget.clients.most(), budget.held().clients), (whole - 10, whole), "nothing is cut off");
+        held.truncate(whole - 10);
+        assert!(budget.clients.take().is_none(), "ten are another's");
+        held.truncate(whole - 11);
         assert!(budget.clients.take().is_some());
+        budget.share(Held::default());
+        assert_eq!(budget.clients.most(), whole);
         // The second address is paid for by the others.
         let without = Budget::new(&Limits { memory_mb: 192, sockets: 1024 }, false);
         assert!(without.hosts.most() > budget.hosts.most() && without.management.most() == 0);
--- a/crates/gateway/tests/day_by_day/main.rs
+++ b/crates/gateway/tests/day_by_day/main.rs
@@ -36,7 +36,12 @@
 
 /// One host under many names: the module lets in as many requests at a time as there are hosts.
 fn crowd(entry: impl Fn(&str) -> Value) -> Vec<Value> {
-    (0..30).map(|n| entry(&format!("s-{n}"))).collect()
+    many(30, entry)
+}
+
+/// The same under so many names.
+fn many(names: usize, entry: impl Fn(&str) -> Value) -> Vec<Value> {
+    (0..names).map(|n| entry(&format!("s-{n}"))).collect()
 }
 
 fn health(gateway: &Gateway) -> u16 {
--- a/crates/gateway/tests/day_by_day/upgrade.rs
+++ b/crates/gateway/tests/day_by_day/upgrade.rs
@@ -52,6 +52,49 @@
     }
 }
 
+/// Clients that ask again and again, and are to be served each time.
+struct Clients {
+    over: Arc<AtomicBool>,
+    served: Arc<AtomicUsize>,
+    threads: Vec<std::thread::JoinHandle<()>>,
+}
+
+impl Clients {
+    /// So many, of which one in `fresh` keeps its connection until it is told goodbye; the others open one for each request.
+    fn start(address: &str, count: usize, fresh: usize, rest: Duration) -> Clients {
+        let (over, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+        let client = |n: usize| {
+            let (address, over, served) = (address.to_owned(), over.clone(), served.clone());
+            spawn(move || {
+                let mut kept: Option<TcpStream> = None;
+                while !over.load(Ordering::SeqCst) {
+                    let mut stream =
+                        kept.take().unwrap_or_else(|| TcpStream::connect(&address).expect("accepted"));
+                    stream.set_read_timeout(Some(LONG)).expect("a time-out");
+                    stream.write_all(request("look").as_bytes()).expect("written");
+                    let mut reader = std::io::BufReader::new(stream.try_clone().expect("a clone"));
+                    let answer = ottervane_rig::scripted::Http::read(&mut reader).expect("an answer");
+                    assert_eq!(answer.status(), 200);
+                    served.fetch_add(1, Ordering::SeqCst);
+                    let close = answer.header("connection") == Some("close");
+                    kept = (n.is_multiple_of(fresh) && !close).then_some(stream);
+                    sleep(rest);
+                }
+            })
+        };
+        let threads = (0..count).map(client).collect();
+        Clients { over, served, threads }
+    }
+
+    /// Lets them go; none may have met anything but an answer.
+    fn end(self) {
+        self.over.store(true, Ordering::SeqCst);
+        for client in self.threads {
+            client.join().expect("no request was lost");
+        }
+    }
+}
+
 fn ready(gateway: &Gateway) {
     wait_for("readiness", || gateway.call("GET", "/_ready").status() == 200);
 }
@@ -67,29 +110,9 @@
     resting.write_all(request("look").as_bytes()).expect("a request");
     wait_for("the answer", || host.count() == 1);
     // Clients on kept connections, and on new ones, all the while.
-    let (over, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
-    let clients: Vec<_> = (0..4)
-        .map(|n| {
-            let (address, over, served) = (address.clone(), over.clone(), served.clone());
-            spawn(move || {
-                let mut stream: Option<TcpStream> = None;
-                while !over.load(Ordering::SeqCst) {
-                    let mut connected =
-                        stream.take().unwrap_or_else(|| TcpStream::connect(&address).expect("accepted"));
-                    connected.set_read_timeout(Some(LONG)).expect("a time-out");
-                    connected.write_all(request("look").as_bytes()).expect("written");
-                    let mut reader = std::io::BufReader::new(connected.try_clone().expect("a clone"));
-                    let answer = ottervane_rig::scripted::Http::read(&mut reader).expect("an answer");
-                    assert_eq!(answer.status(), 200);
-                    served.fetch_add(1, Ordering::SeqCst);
-                    let close = answer.header("connection") == Some("close");
-                    stream = (n % 2 == 0 && !close).then_some(connected);
-                    sleep(Duration::from_millis(5));
-                }
-            })
-        })
-        .collect();
-    wait_for("traffic", || served.load(Ordering::SeqCst) > 50);
+    let clients = Clients::start(&address, 4, 2, Duration::from_millis(5));
+    let served = || clients.served.load(Ordering::SeqCst);
+    wait_for("traffic", || served() > 50);
     let (new, _news) = place.ready("upgrade-new", &hosts);
     // Each counts its own, and both answer staff.
     wait_for("both at work", || {
@@ -103,12 +126,9 @@
     old.signal("TERM");
     assert!(old.wait().success(), "it leaves by itself once nothing is left to answer");
     ended(&mut resting);
-    let by_then = served.load(Ordering::SeqCst);
-    wait_for("the new process's traffic", || served.load(Ordering::SeqCst) > by_then + 50);
-    over.store(true, Ordering::SeqCst);
-    for client in clients {
-        client.join().expect("no request was lost");
-    }
+    let by_then = served();
+    wait_for("the new process's traffic", || served() > by_then + 50);
+    clients.end();
     assert!(new.figure("router_answered{group=\"look\"}") > Some(0));
 }
 
@@ -289,3 +309,29 @@
     assert!(to_cold < to_warm, "{to_cold} to the cold host, {to_warm} to the warm one");
     assert!(new.figure("router_cluster_unhealthy") >= Some(1), "the one that leaves");
 }
+
+/// Clients may hold a third of the descriptors, whichever of the two processes has them.
+#[test]
+fn a_replacement_has_room_for_all_clients_as_soon_as_the_old_one_lets_them_go() {
+    let host = ScriptedNode::start(|_| Reply::ok("ok"));
+    let hosts = many(160, |name| host.entry(name, 1)); // the module lets all clients in at once
+    let place = Place::new("all-clients");
+    let (mut old, _old_news) = place.ready("all-old", &hosts);
+    let clients = Clients::start(&place.address, 80, 1, Duration::from_millis(30));
+    let served = || clients.served.load(Ordering::SeqCst);
+    wait_for("traffic", || served() > 400);
+    for name in ["all-new", "all-newer"] {
+        let (new, _news) = place.ready(name, &hosts);
+        old.signal("TERM");
+        assert!(old.wait().success());
+        let by_then = served();
+        wait_for("the new process's traffic", || served() > by_then + 800);
+        assert_eq!(
+            new.figure("router_deferred{group=\"look\"}"),
+            Some(0),
+            "nobody is refused for want of a place"
+        );
+        old = new;
+    }
+    clients.end();
+}
