Decide a fleet's sessions, council and audit without I/O, and play them in virtual time

Need: no gateway knows that there are others; nobody can say which of them acted on which list, and one that lags is neither brought up nor shut out.

ottervane-fleet: leases with all margins in one place; a replicated register of sessions, versions, departures and requirements; the council over omnipaxos, where votes belong to processes and one that comes back without its state is seated anew; what each sees of the others; one gateway's whole part (agent); the audit's books. The rig plays agents in virtual time with clocks that run apart, cut, slow and flapping links, pauses and kills, and shrinks a script that fails.

Nothing of it is in the program yet.

--- /dev/null
+++ b/crates/fleet/src/audit/mod.rs
@@ -0,0 +1,431 @@
+//! What a gateway did under which version, and what it did that it should not have.
+//!
+//! Every pick, resend, refusal and drain is booked under the version in force at that decision. Intervals hold counts, so that their
+//! number grows with changes of version and not with traffic; the newest requests are kept one by one. All of it is bounded: what no
+//! longer fits is forgotten oldest first, and *that* it was is told with every answer, so that silence never looks like innocence.
+
+use crate::version::{digest, Version};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// The most intervals.
+const INTERVALS: usize = 4096;
+/// The most exceptions, each of which stands for a run of alike ones.
+const EXCEPTIONS: usize = 1024;
+/// The most steps of requests that are kept one by one: at 200 requests a second, a minute and a half.
+const STEPS: usize = 16_384;
+/// The most names of hosts.
+const NAMES: usize = 4096;
+/// Alike exceptions nearer to each other than this are one run.
+const RUN: Duration = Duration::from_secs(1);
+
+/// A kind of decision.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Kind {
+    /// A request goes to a host for the first time.
+    Pick,
+    /// It goes out again.
+    Resend,
+    /// It is refused.
+    Refuse,
+    /// A host gets nothing new.
+    Drain,
+}
+
+const KINDS: usize = 4;
+
+/// What a gateway should not have done.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Exception {
+    /// It acted on a list older than one that it had been told of.
+    OlderThanTold {
+        /// What it had.
+        own: u64,
+        /// What it had been told of.
+        told: u64,
+    },
+    /// It sent to a host that it had been told leaves or is gone.
+    ToldGone {
+        /// The host.
+        host: String,
+    },
+    /// It acted without a session.
+    WithoutSession,
+    /// It sent although it was shut out.
+    ShutOut,
+}
+
+/// A decision.
+#[derive(Clone, Copy, Debug)]
+pub struct Decision<'a> {
+    /// Its kind.
+    pub kind: Kind,
+    /// The class of the request; 0 for a drain.
+    pub class: usize,
+    /// The request's number, as the client wrote it; empty for a drain.
+    pub request: &'a str,
+    /// The host, where it is about one.
+    pub host: Option<&'a str>,
+}
+
+/// A stretch of time under one version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Interval {
+    version: Version,
+    from: Duration,
+    /// By class: how many of each kind.
+    counts: Vec<[u64; KINDS]>,
+    first: Option<String>,
+    last: Option<u64>,
+}
+
+/// A run of exceptions.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Run {
+    what: Exception,
+    from: Duration,
+    to: Duration,
+    count: u64,
+    first: String,
+}
+
+/// A step of a request.
+#[derive(Clone, Copy, Debug)]
+struct Step {
+    at: Duration,
+    request: u64,
+    kind: Kind,
+    host: u64,
+    interval: u64,
+}
+
+/// The books.
+#[derive(Clone, Debug)]
+pub struct Audit {
+    began: Duration,
+    intervals: VecDeque<Interval>,
+    /// Intervals forgotten: the number of the first one kept.
+    forgotten: u64,
+    exceptions: VecDeque<Run>,
+    exceptions_forgotten: u64,
+    steps: VecDeque<Step>,
+    steps_forgotten: u64,
+    names: BTreeMap<u64, String>,
+}
+
+/// An interval, as it is told.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldInterval {
+    /// The version in force.
+    pub version: Version,
+    /// From when, in milliseconds of the teller's clock.
+    pub from_ms: u64,
+    /// Until when; where none, still.
+    pub to_ms: Option<u64>,
+    /// How many decisions of each kind, by class.
+    pub decisions: Vec<(Kind, usize, u64)>,
+    /// The first request.
+    pub first: Option<String>,
+    /// A digest of the last request's number.
+    pub last: Option<u64>,
+}
+
+/// A run of exceptions, as it is told.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldException {
+    /// What.
+    pub what: Exception,
+    /// From when, in milliseconds of the teller's clock.
+    pub from_ms: u64,
+    /// The last one.
+    pub to_ms: u64,
+    /// How many.
+    pub count: u64,
+    /// The first request.
+    pub first: String,
+}
+
+/// A step, as it is told.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldStep {
+    /// When, in milliseconds of the teller's clock.
+    pub at_ms: u64,
+    /// What.
+    pub kind: Kind,
+    /// To whom, where it is known still.
+    pub host: Option<String>,
+    /// Under which version, where it is known still.
+    pub version: Option<Version>,
+}
+
+/// What one gateway answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    /// Since when its books go, in milliseconds of its clock: what its processes before did is not in them.
+    pub since_ms: u64,
+    /// Up to when.
+    pub until_ms: u64,
+    /// How many intervals have been forgotten since.
+    pub forgotten: u64,
+    /// How many runs of exceptions have been forgotten.
+    pub exceptions_forgotten: u64,
+    /// The intervals asked for.
+    pub intervals: Vec<ToldInterval>,
+    /// The exceptions in that time.
+    pub exceptions: Vec<ToldException>,
+}
+
+fn ms(at: Duration) -> u64 {
+    at.as_millis() as u64
+}
+
+impl Audit {
+    /// Empty books that begin now.
+    pub fn new(now: Duration, version: Version) -> Audit {
+        let mut audit = Audit {
+            began: now,
+            intervals: VecDeque::new(),
+            forgotten: 0,
+            exceptions: VecDeque::new(),
+            exceptions_forgotten: 0,
+            steps: VecDeque::new(),
+            steps_forgotten: 0,
+            names: BTreeMap::new(),
+        };
+        audit.turn_to(now, version);
+        audit
+    }
+
+    /// Another version is in force from now on.
+    pub fn turn_to(&mut self, now: Duration, version: Version) {
+        if self.intervals.back().is_some_and(|i| i.version == version) {
+            return;
+        }
+        // One in which nothing was decided tells nobody anything.
+        let idle = self.intervals.back().is_some_and(|i| i.counts.is_empty());
+        if idle && self.intervals.len() > 1 {
+            if let Some(last) = self.intervals.back_mut() {
+                (last.version, last.from) = (version, now);
+            }
+            return;
+        }
+        let counts = Vec::new();
+        self.intervals.push_back(Interval { version, from: now, counts, first: None, last: None });
+        while self.intervals.len() > INTERVALS {
+            self.intervals.pop_front();
+            self.forgotten += 1;
+        }
+    }
+
+    /// Books a decision under the version in force.
+    pub fn book(&mut self, now: Duration, decision: Decision<'_>) {
+        let request = digest(decision.request.as_bytes());
+        if let Some(interval) = self.intervals.back_mut() {
+            if interval.counts.len() <= decision.class {
+                interval.counts.resize(decision.class + 1, [0; KINDS]);
+            }
+            interval.counts[decision.class][decision.kind as usize] += 1;
+            if !decision.request.is_empty() {
+                if interval.first.is_none() {
+                    interval.first = Some(decision.request.to_owned());
+                }
+                interval.last = Some(request);
+            }
+        }
+        let host = decision.host.map_or(0, |host| {
+            let hash = digest(host.as_bytes());
+            if self.names.len() < NAMES && !self.names.contains_key(&hash) {
+                self.names.insert(hash, host.to_owned());
+            }
+            hash
+        });
+        if decision.request.is_empty() {
+            return;
+        }
+        if self.steps.len() == STEPS {
+            self.steps.pop_front();
+            self.steps_forgotten += 1;
+        }
+        let interval = self.forgotten + self.intervals.len() as u64 - 1;
+        self.steps.push_back(Step { at: now, request, kind: decision.kind, host, interval });
+    }
+
+    /// Books that a decision should not have been.
+    pub fn except(&mut self, now: Duration, what: Exception, request: &str) {
+        let run = self.exceptions.iter_mut().rev().take(4).find(|r| r.what == what);
+        if let Some(run) = run.filter(|r| now.saturating_sub(r.to) <= RUN) {
+            (run.to, run.count) = (now, run.count + 1);
+            return;
+        }
+        let first = request.to_owned();
+        self.exceptions.push_back(Run { what, from: now, to: now, count: 1, first });
+        while self.exceptions.len() > EXCEPTIONS {
+            self.exceptions.pop_front();
+            self.exceptions_forgotten += 1;
+        }
+    }
+
+    /// What was done under lists of these indices.
+    pub fn told(&self, now: Duration, indices: std::ops::RangeInclusive<u64>) -> Told {
+        let ends = self.intervals.iter().skip(1).map(|i| Some(ms(i.from))).chain([None]);
+        let told = self.intervals.iter().zip(ends).filter(|(i, _)| indices.contains(&i.version.list.index));
+        let intervals: Vec<ToldInterval> = told
+            .map(|(interval, to_ms)| ToldInterval {
+                version: interval.version.clone(),
+                from_ms: ms(interval.from),
+                to_ms,
+                decisions: decisions(&interval.counts),
+                first: interval.first.clone(),
+                last: interval.last,
+            })
+            .collect();
+        let within = |run: &&Run| {
+            let in_time =
+                |i: &ToldInterval| ms(run.to) >= i.from_ms && i.to_ms.is_none_or(|to| ms(run.from) <= to);
+            intervals.iter().any(in_time)
+        };
+        let exceptions = self.exceptions.iter().filter(within).map(|run| ToldException {
+            what: run.what.clone(),
+            from_ms: ms(run.from),
+            to_ms: ms(run.to),
+            count: run.count,
+            first: run.first.clone(),
+        });
+        Told {
+            since_ms: ms(self.began),
+            until_ms: ms(now),
+            forgotten: self.forgotten,
+            exceptions_forgotten: self.exceptions_forgotten,
+            exceptions: exceptions.collect(),
+            intervals,
+        }
+    }
+
+    /// What a request met; and from when on the books hold single requests.
+    pub fn request(&self, number: &str) -> (u64, Vec<ToldStep>) {
+        let wanted = digest(number.as_bytes());
+        let step = |s: &Step| ToldStep {
+            at_ms: ms(s.at),
+            kind: s.kind,
+            host: self.names.get(&s.host).cloned(),
+            version: s
+                .interval
+                .checked_sub(self.forgotten)
+                .and_then(|n| self.intervals.get(n as usize))
+                .map(|i| i.version.clone()),
+        };
+        let from = match self.steps.front() {
+            Some(first) if self.steps_forgotten > 0 => first.at,
+            _ => self.began,
+        };
+        (ms(from), self.steps.iter().filter(|s| s.request == wanted).map(step).collect())
+    }
+}
+
+fn decisions(counts: &[[u64; KINDS]]) -> Vec<(Kind, usize, u64)> {
+    let kinds = [Kind::Pick, Kind::Resend, Kind::Refuse, Kind::Drain];
+    let by_class = |(class, of): (usize, &[u64; KINDS])| {
+        let of = *of;
+        kinds.into_iter().filter_map(move |kind| {
+            let count = of[kind as usize];
+            (count > 0).then_some((kind, class, count))
+        })
+    };
+    counts.iter().enumerate().flat_map(by_class).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::version::Listed;
+    use proptest::prelude::*;
+
+    fn at(ms: u64) -> Duration {
+        Duration::from_millis(ms)
+    }
+
+    fn version(index: u64) -> Version {
+        Version { list: Listed { lineage: "r".into(), index }, ..Version::default() }
+    }
+
+    fn pick(request: &str) -> Decision<'_> {
+        Decision { kind: Kind::Pick, class: 1, request, host: Some("n1") }
+    }
+
+    #[test]
+    fn who_acted_on_a_version_after_a_moment_is_told() {
+        let mut audit = Audit::new(at(0), version(1));
+        audit.book(at(10), pick("a"));
+        audit.turn_to(at(100), version(2));
+        audit.book(at(110), pick("b"));
+        audit.book(at(120), Decision { kind: Kind::Refuse, class: 0, request: "c", host: None });
+        audit.except(at(120), Exception::WithoutSession, "c");
+        let told = audit.told(at(200), 1..=1);
+        assert_eq!(told.intervals.len(), 1);
+        assert_eq!((told.intervals[0].from_ms, told.intervals[0].to_ms), (0, Some(100)));
+        assert_eq!(told.intervals[0].decisions, [(Kind::Pick, 1, 1)]);
+        assert!(told.exceptions.is_empty(), "that was under another version");
+        let told = audit.told(at(200), 2..=9);
+        assert_eq!(told.intervals[0].decisions, [(Kind::Refuse, 0, 1), (Kind::Pick, 1, 1)]);
+        assert_eq!(told.exceptions.len(), 1);
+        let (from, steps) = audit.request("b");
+        assert_eq!((from, steps.len()), (0, 1));
+        assert_eq!(steps[0].host.as_deref(), Some("n1"));
+        assert_eq!(steps[0].version.as_ref().map(|v| v.list.index), Some(2));
+    }
+
+    #[test]
+    fn exceptions_in_a_row_are_one_run_and_later_ones_another() {
+        let mut audit = Audit::new(at(0), version(1));
+        for n in 0..50 {
+            audit.except(at(n * 100), Exception::WithoutSession, "x");
+        }
+        audit.except(at(9000), Exception::WithoutSession, "y");
+        let told = audit.told(at(9000), 0..=u64::MAX);
+        assert_eq!(told.exceptions.iter().map(|e| e.count).collect::<Vec<_>>(), [50, 1]);
+    }
+
+    proptest! {
+        /// However many versions and requests there are, the books stay bounded, and say what they no longer hold.
+        #[test]
+        fn books_are_bounded_and_say_what_is_forgotten(versions in 1u64..12_000, each in 0u64..3) {
+            let mut audit = Audit::new(at(0), version(0));
+            for v in 1..=versions {
+                audit.turn_to(at(v), version(v));
+                for n in 0..each {
+                    audit.book(at(v), pick(&format!("{v}-{n}")));
+                }
+            }
+            prop_assert!(audit.intervals.len() <= INTERVALS && audit.steps.len() <= STEPS);
+            let told = audit.told(at(versions), 0..=u64::MAX);
+            let counted: u64 = told.intervals.iter().flat_map(|i| &i.decisions).map(|(_, _, n)| n).sum();
+            if told.forgotten == 0 {
+                prop_assert_eq!(counted, versions * each);
+            } else {
+                prop_assert!(counted < versions * each);
+            }
+            // A version that nothing was done under costs no place.
+            prop_assert!(each > 0 || told.intervals.len() <= 2);
+            let (from, _) = audit.request("none");
+            prop_assert_eq!(from > 0, audit.steps_forgotten > 0);
+        }
+
+        /// Every decision is in the interval whose version was in force.
+        #[test]
+        fn counts_add_up(steps in prop::collection::vec((0u64..5, 0usize..3), 1..200)) {
+            let mut audit = Audit::new(at(0), version(0));
+            let mut sums = BTreeMap::new();
+            for (n, (index, class)) in steps.iter().enumerate() {
+                audit.turn_to(at(n as u64), version(*index));
+                audit.book(at(n as u64), Decision { class: *class, ..pick("r") });
+                *sums.entry(*index).or_insert(0u64) += 1;
+            }
+            for (index, sum) in sums {
+                let told = audit.told(at(999), index..=index);
+                let counted: u64 = told.intervals.iter().flat_map(|i| &i.decisions).map(|(_, _, n)| n).sum();
+                prop_assert_eq!(counted, sum);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/council/storage.rs
@@ -0,0 +1,131 @@
+//! What the library keeps of one configuration, in memory. A process that ends forgets it, and has no vote when it comes back.
+
+use crate::register::Entry;
+use omnipaxos::ballot_leader_election::Ballot;
+use omnipaxos::storage::{NoSnapshot, StopSign, Storage, StorageOp, StorageResult};
+
+/// Log and promises.
+#[derive(Debug, Default)]
+pub struct Kept {
+    log: Vec<Entry>,
+    promise: Option<Ballot>,
+    accepted: Option<Ballot>,
+    decided: usize,
+    trimmed: usize,
+    compacted: usize,
+    stop: Option<StopSign>,
+}
+
+impl Kept {
+    fn at(&self, index: usize) -> usize {
+        index.saturating_sub(self.trimmed).min(self.log.len())
+    }
+}
+
+impl Storage<Entry> for Kept {
+    fn write_atomically(&mut self, ops: Vec<StorageOp<Entry>>) -> StorageResult<()> {
+        for op in ops {
+            match op {
+                StorageOp::AppendEntry(entry) => self.append_entry(entry)?,
+                StorageOp::AppendEntries(entries) => self.append_entries(entries)?,
+                StorageOp::AppendOnPrefix(from, entries) => self.append_on_prefix(from, entries)?,
+                StorageOp::SetPromise(ballot) => self.set_promise(ballot)?,
+                StorageOp::SetDecidedIndex(index) => self.set_decided_idx(index)?,
+                StorageOp::SetAcceptedRound(ballot) => self.set_accepted_round(ballot)?,
+                StorageOp::SetCompactedIdx(index) => self.set_compacted_idx(index)?,
+                StorageOp::Trim(index) => self.trim(index)?,
+                StorageOp::SetStopsign(stop) => self.set_stopsign(stop)?,
+                StorageOp::SetSnapshot(snapshot) => self.set_snapshot(snapshot)?,
+            }
+        }
+        Ok(())
+    }
+
+    fn append_entry(&mut self, entry: Entry) -> StorageResult<()> {
+        self.log.push(entry);
+        Ok(())
+    }
+
+    fn append_entries(&mut self, entries: Vec<Entry>) -> StorageResult<()> {
+        self.log.extend(entries);
+        Ok(())
+    }
+
+    fn append_on_prefix(&mut self, from: usize, entries: Vec<Entry>) -> StorageResult<()> {
+        let from = self.at(from);
+        self.log.truncate(from);
+        self.append_entries(entries)
+    }
+
+    fn set_promise(&mut self, promise: Ballot) -> StorageResult<()> {
+        self.promise = Some(promise);
+        Ok(())
+    }
+
+    fn set_decided_idx(&mut self, decided: usize) -> StorageResult<()> {
+        self.decided = decided;
+        Ok(())
+    }
+
+    fn get_decided_idx(&self) -> StorageResult<usize> {
+        Ok(self.decided)
+    }
+
+    fn set_accepted_round(&mut self, accepted: Ballot) -> StorageResult<()> {
+        self.accepted = Some(accepted);
+        Ok(())
+    }
+
+    fn get_accepted_round(&self) -> StorageResult<Option<Ballot>> {
+        Ok(self.accepted)
+    }
+
+    fn get_entries(&self, from: usize, to: usize) -> StorageResult<Vec<Entry>> {
+        Ok(self.log.get(self.at(from)..self.at(to)).map(<[Entry]>::to_vec).unwrap_or_default())
+    }
+
+    fn get_log_len(&self) -> StorageResult<usize> {
+        Ok(self.log.len())
+    }
+
+    fn get_suffix(&self, from: usize) -> StorageResult<Vec<Entry>> {
+        Ok(self.log[self.at(from)..].to_vec())
+    }
+
+    fn get_promise(&self) -> StorageResult<Option<Ballot>> {
+        Ok(self.promise)
+    }
+
+    fn set_stopsign(&mut self, stop: Option<StopSign>) -> StorageResult<()> {
+        self.stop = stop;
+        Ok(())
+    }
+
+    fn get_stopsign(&self) -> StorageResult<Option<StopSign>> {
+        Ok(self.stop.clone())
+    }
+
+    fn trim(&mut self, index: usize) -> StorageResult<()> {
+        let at = self.at(index);
+        self.log.drain(..at);
+        self.trimmed = index;
+        Ok(())
+    }
+
+    fn set_compacted_idx(&mut self, index: usize) -> StorageResult<()> {
+        self.compacted = index;
+        Ok(())
+    }
+
+    fn get_compacted_idx(&self) -> StorageResult<usize> {
+        Ok(self.compacted)
+    }
+
+    fn set_snapshot(&mut self, _: Option<NoSnapshot>) -> StorageResult<()> {
+        Ok(())
+    }
+
+    fn get_snapshot(&self) -> StorageResult<Option<NoSnapshot>> {
+        Ok(None)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,16 @@
+//! What gateways decide together. No socket, no file, no clock: `now` is this process's monotonic time since any start of its own,
+//! frames and events come in, frames and changes of standing go out, and randomness comes from a seed.
+//!
+//! One way downwards: [`agent`] is one gateway's whole part; it drives [`council`], which replicates [`register`]; [`members`] is
+//! what one gateway sees of the others; [`audit`] keeps what was done under which [`version`]; [`clock`] holds every margin;
+//! [`wire`] is what gateways say to each other; [`settings`] what the operator says.
+
+pub mod agent;
+pub mod audit;
+pub mod clock;
+pub mod council;
+pub mod members;
+pub mod register;
+pub mod settings;
+pub mod version;
+pub mod wire;
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -23,3 +23,4 @@
 pub mod simulate;
 pub mod sweep;
 pub mod timeline;
+pub mod whole;
