Link gateways of a fleet on sockets, book what each does, and answer staff; off without table and flag

Need: the fleet's decisions had no program round them. crates/gateway/src/fleet carries them out: one TCP link to each council member (tokio-util's codec, postcard), bounded queues, hellos that say why a stranger is turned away, half-open links ended. core asks how the process stands before it takes a request in, books each pick, resend, refusal and drain under the version in force, turns from hosts that others' newer lists call leaving or gone, and asks discovery again when others are ahead. `fleet` and `audit` ask all gateways, name those that could not be asked, and say "nobody" only when all have answered.

The flag alone is an error before anything is opened.

--- a/crates/fleet/src/agent/session.rs
+++ b/crates/fleet/src/agent/session.rs
@@ -84,6 +84,7 @@
     told: bool,
     asked_discovery: Option<Duration>,
     reread: Option<Duration>,
+    closed: bool,
 }
 
 impl Holder {
@@ -106,6 +107,7 @@
             told: false,
             asked_discovery: None,
             reread: None,
+            closed: false,
         }
     }
 
@@ -179,7 +181,7 @@
             self.asking = None;
             self.next = now;
         }
-        if self.asking.is_some() || now < self.next {
+        if self.closed || self.asking.is_some() || now < self.next {
             return frames;
         }
         if self.keeper.is_none() {
@@ -308,6 +310,7 @@
 
     /// The word with which it leaves in order.
     pub(super) fn close(&mut self) -> Option<(Name, Frame)> {
+        self.closed = true;
         let held = self.held.take()?;
         Some((self.keeper.clone()?, Frame::Close { session: held.id }))
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod audit;
 pub mod clock;
 pub mod council;
+pub mod departures;
 pub mod members;
 pub mod register;
 pub mod settings;
--- a/crates/gateway/src/config/operator.rs
+++ b/crates/gateway/src/config/operator.rs
@@ -2,6 +2,8 @@
 
 use crate::daemon::log::Log;
 use ottervane_control::storm::StormSettings;
+use ottervane_fleet::settings::FleetSettings;
+use ottervane_fleet::version::digest;
 use ottervane_settings::{Document, Problems};
 use std::path::Path;
 
@@ -26,6 +28,8 @@
 pub struct Operator {
     /// Storm control, where it is on.
     pub storm: Option<StormSettings>,
+    /// The fleet that this gateway belongs to, where `run` has the flag `--fleet` too.
+    pub fleet: Option<FleetSettings>,
     /// How the log is worded, and how much it tells.
     pub log: Log,
 }
@@ -42,6 +46,12 @@
         Ok(Operator::parse(&name, &text)?)
     }
 
+    /// A digest of what it says of the whole fleet: a gateway's own name and address are left out.
+    pub fn digest(&self) -> u64 {
+        let fleet = self.fleet.as_ref().map(FleetSettings::digest);
+        digest(format!("{:?} {:?} {fleet:?}", self.storm, self.log).as_bytes())
+    }
+
     /// The same for its text; `file` is its name in errors.
     ///
     /// # Errors
@@ -51,8 +61,9 @@
         let root = document.root();
         let storm = root.table("storm").map(|table| StormSettings::read(&table));
         let log = root.table("log").map(|table| Log::read(&table)).unwrap_or_default();
+        let fleet = root.table("fleet").map(|table| FleetSettings::read(&table));
         root.finish();
-        document.check(Operator { storm, log })
+        document.check(Operator { storm, fleet, log })
     }
 }
 
--- a/crates/gateway/src/config/platform.rs
+++ b/crates/gateway/src/config/platform.rs
@@ -8,6 +8,7 @@
 use ottervane::report::ReportFields;
 use ottervane::wire::parse_settings;
 use ottervane::{stable_hash, Class, Settings};
+use ottervane_fleet::version::digest;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use serde_json::Value;
@@ -151,6 +152,34 @@
     pub fn named_classes(&self) -> impl Iterator<Item = (String, Class)> + '_ {
         self.classes.iter().cloned().zip(self.settings.classes.iter().cloned())
     }
+
+    /// A digest of what the file says of the whole site: what differs from gateway to gateway is left out.
+    pub fn site_digest(&self) -> u64 {
+        let mut settings = self.document["settings"].clone();
+        if let Some(settings) = settings.as_object_mut() {
+            settings.remove("locality");
+            settings.remove("rank");
+        }
+        digest(settings.to_string().as_bytes())
+    }
+
+    /// Leaves so many descriptors to another part of the program.
+    ///
+    /// # Errors
+    /// Where too few would be left for clients and hosts.
+    pub fn leave(&mut self, descriptors: usize) -> Result<(), ConfigError> {
+        let left = self.limits.sockets.saturating_sub(descriptors);
+        if descriptors > 0 && left < LEAST_SOCKETS {
+            let few = format!(
+                "limits.sockets is {}, and the fleet's links take {descriptors}: at least {} needed",
+                self.limits.sockets,
+                descriptors + LEAST_SOCKETS
+            );
+            return Err(ConfigError::Unusable(few));
+        }
+        self.limits.sockets = left;
+        Ok(())
+    }
 }
 
 impl Config {
--- a/crates/gateway/src/core/messages.rs
+++ b/crates/gateway/src/core/messages.rs
@@ -7,6 +7,7 @@
 use hyper::StatusCode;
 use ottervane::{HostId, LoadReport, Memory, Outcome, RequestId, Settings};
 use ottervane_control::classes::Kept;
+use ottervane_fleet::wire::Gone;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -68,6 +69,8 @@
     pub discovery: SocketAddr,
     /// What holds for connections to hosts.
     pub connections: crate::upstream::Terms,
+    /// A digest of what the file says of the whole site.
+    pub digest: u64,
 }
 
 /// What the gateway hears.
@@ -139,6 +142,13 @@
     Remember(oneshot::Sender<Memory>),
     /// Other settings hold from now on.
     Retune(Box<Retune>),
+    /// Other gateways have a newer list: discovery is to be asked again.
+    Behind {
+        /// The index that most of them have.
+        current: u64,
+    },
+    /// Newer lists than the one held say that hosts leave or are gone.
+    Told(Vec<Gone>),
     /// A watch on the hosts has failed or ended.
     DiscoveryFailed {
         /// Which.
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -7,6 +7,7 @@
 use crate::discovery::watch::watch;
 use crate::exchange::{Forward, Payload};
 use crate::figures::Figures;
+use crate::fleet::Fleet;
 use crate::names::Names;
 use crate::upstream::{Attempt, End, Host, Pool, Stage, Until};
 use hyper::header::HeaderValue;
@@ -16,6 +17,8 @@
 use ottervane_control::classes::Kept;
 use ottervane_control::rewatch::{self, Rewatch};
 use ottervane_control::storm::{Answered, Arriving, Storm, StormSettings, Terms};
+use ottervane_fleet::audit::Kind;
+use ottervane_fleet::wire::Gone;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::Cell;
 use std::cmp::Reverse;
@@ -32,6 +35,9 @@
 /// So many faults of one list are told, each with its entry.
 const FAULTS_TOLD: usize = 3;
 
+/// Who is refused by a gateway that is shut out of its fleet may come again after this, where the settings allow advice.
+const SHUT_OUT: Duration = Duration::from_secs(1);
+
 /// The figures of the hosts are taken this often; they may be half a second late.
 const FIGURES: Duration = Duration::from_millis(250);
 
@@ -47,6 +53,7 @@
     attempts: Vec<(Rc<Host>, Rc<Notify>, Rc<Until>)>,
     out: u32,
     last: Outcome,
+    class: usize,
     _class: Rc<Kept>,
 }
 
@@ -138,6 +145,7 @@
     storm: Option<Storm>,
     storms: Option<StormSettings>,
     figures: Option<Rc<Figures>>,
+    fleet: Option<Rc<Fleet>>,
 }
 
 impl Gateway {
@@ -174,6 +182,7 @@
             storm: None,
             storms: None,
             figures: None,
+            fleet: None,
         };
         (gateway, handle)
     }
@@ -193,6 +202,29 @@
         self.handle.count_connections();
     }
 
+    /// Makes it part of a fleet.
+    pub fn join(&mut self, fleet: Rc<Fleet>) {
+        self.fleet = Some(fleet);
+    }
+
+    /// Books a decision about a request, where there are books.
+    fn book(&self, kind: Kind, id: RequestId, host: Option<HostId>) {
+        let Some((fleet, entry)) = self.fleet.as_ref().zip(self.requests.get(&id)) else { return };
+        fleet.book(kind, entry.class, entry.number.to_str().unwrap_or_default(), host);
+    }
+
+    /// Refuses what a gateway that is shut out may not take in.
+    fn turned_away(&self, arrival: &Arrival) -> bool {
+        self.fleet.as_ref().is_some_and(|fleet| {
+            let away = !fleet.takes_clients();
+            if away {
+                let number = arrival.number.to_str().unwrap_or_default();
+                fleet.book(Kind::Refuse, arrival.request.class, number, None);
+            }
+            away
+        })
+    }
+
     /// Has the figures of the hosts kept.
     pub fn keep_figures(&mut self, figures: Rc<Figures>) {
         self.figures = Some(figures);
@@ -316,6 +348,11 @@
                     storm.connected(self.handle.time(Instant::now()));
                 }
             }
+            Message::Arrived(arrival) if self.turned_away(&arrival) => {
+                arrival.open.set(false);
+                let keep_away = SHUT_OUT.min(self.settings.max_keep_away);
+                let _ = arrival.answer.send(Final::Refused { keep_away }); // a client that has gone wants none
+            }
             Message::Arrived(arrival) => {
                 let Arrival { mut request, number, forward, class, answer, open } = *arrival;
                 if !self.numbers.insert(number.clone()) {
@@ -329,7 +366,7 @@
                 let identity = identity(&request);
                 let (forward, answer) = (Rc::new(forward), Some(answer));
                 let (attempts, out, last) = (Vec::new(), 0, Outcome::NotSent);
-                let arrived = Instant::now();
+                let (arrived, place) = (Instant::now(), request.class);
                 debug!(request = request.id.0, class = request.class, repeat = request.repeat, "arrived");
                 self.timers.push(Reverse((give_up, Timer::Backstop(request.id))));
                 let id = request.id;
@@ -345,6 +382,7 @@
                     attempts,
                     out,
                     last,
+                    class: place,
                     _class,
                 };
                 self.requests.insert(id, entry);
@@ -419,6 +457,8 @@
             // Who asked may have been told to stop.
             Message::Remember(answer) => drop(answer.send(self.balancer.memory())),
             Message::Retune(retune) => self.retune(*retune),
+            Message::Behind { current } => self.catch_up(current),
+            Message::Told(gone) => self.turn_from(&gone),
         }
     }
 
@@ -474,7 +514,10 @@
 
     /// Goes on under other settings.
     fn retune(&mut self, retune: Retune) {
-        let Retune { mut settings, names, discovery, connections } = retune;
+        let Retune { mut settings, names, discovery, connections, digest } = retune;
+        if let Some(fleet) = &self.fleet {
+            fleet.configured(digest, discovery);
+        }
         self.pool.retune(connections);
         // The numbers of zones and kinds that hosts are known by stay.
         let zone = names.zones.get(settings.zone as usize).cloned();
@@ -529,6 +572,7 @@
             return self.decide(Event::Hosts { full: false, hosts: &[] });
         }
         self.version = list.index;
+        let before = self.departing(&list);
         self.free_the_gone();
         if list.snapshot {
             // What a whole list lacks is gone.
@@ -553,9 +597,74 @@
         debug!(index = list.index, whole = list.snapshot, entries = list.endpoints.len(), "list");
         self.pool.keep(|id| self.hosts.get(id.0 as usize).is_some_and(|h| h.takes_work.get()));
         self.handle.set_hosts_up(self.hosts.iter().any(|h| h.takes_work.get()));
+        self.tell_departed(&before);
         self.decide(Event::Hosts { full: list.snapshot, hosts: &news });
     }
 
+    /// Where the fleet is to be told: the hosts that a list is about to change and that take work, by name.
+    fn departing(&self, list: &List) -> Vec<(String, HostId)> {
+        let Some(fleet) = &self.fleet else { return Vec::new() };
+        fleet.lists(list.index);
+        let up = |id: HostId| self.listed.get(id.0 as usize).is_some_and(|h| h.state == HostState::Up);
+        let taking = |(name, id): (&String, &HostId)| up(*id).then(|| (name.clone(), *id));
+        if list.snapshot {
+            return self.host_ids.iter().filter_map(taking).collect();
+        }
+        let named = list.endpoints.iter().filter_map(|e| self.host_ids.get_key_value(&e.name));
+        named.filter_map(taking).collect()
+    }
+
+    /// Tells the fleet which of these leave or are gone now.
+    fn tell_departed(&self, before: &[(String, HostId)]) {
+        let Some(fleet) = &self.fleet else { return };
+        let state = |id: &HostId| self.listed.get(id.0 as usize).map_or(HostState::Removed, |h| h.state);
+        let departed = before.iter().filter(|(_, id)| state(id) != HostState::Up);
+        let departed = departed.map(|(name, id)| (name.clone(), state(id) == HostState::Removed));
+        fleet.listed(self.version, departed.collect());
+    }
+
+    /// Others have a newer list: discovery is asked again, on a connection of its own.
+    fn catch_up(&mut self, current: u64) {
+        if current <= self.version {
+            return;
+        }
+        info!(own = self.version, current, "discovery: other gateways have a newer list; it is asked again");
+        let watched = self.end_watch();
+        if self.pushed() {
+            self.subscribe();
+        } else if watched {
+            self.decide(Event::DiscoveryFailed);
+        }
+    }
+
+    /// Newer lists than the one held say that hosts leave or are gone: nothing new goes there.
+    fn turn_from(&mut self, gone: &[Gone]) {
+        let Some(fleet) = self.fleet.clone() else { return };
+        let mut news = Vec::new();
+        for name in fleet.told_gone(gone) {
+            let Some(id) = self.host_ids.get(&name) else { continue };
+            let Some(listed) = self.listed.get_mut(id.0 as usize) else { continue };
+            if listed.state == HostState::Up {
+                listed.state = HostState::Draining;
+                news.push(listed.clone());
+                if let Some(host) = self.hosts.get(id.0 as usize) {
+                    host.takes_work.set(false);
+                }
+            }
+        }
+        if news.is_empty() {
+            return;
+        }
+        info!(
+            hosts = news.len(),
+            own = self.version,
+            "other gateways were told that hosts leave or are gone; nothing new goes there"
+        );
+        self.pool.keep(|id| self.hosts.get(id.0 as usize).is_some_and(|h| h.takes_work.get()));
+        self.handle.set_hosts_up(self.hosts.iter().any(|h| h.takes_work.get()));
+        self.decide(Event::Hosts { full: false, hosts: &news });
+    }
+
     /// Frees the numbers of the hosts that are gone and that no open request has been sent to. Hosts come and go for
     /// ever: with a number for each that ever was, every table and every walk over one would grow for ever.
     fn free_the_gone(&mut self) {
@@ -589,7 +698,12 @@
         if address.is_some() {
             host.address.set(address);
         }
+        if let Some(fleet) = &self.fleet {
+            fleet.know_host(id, &entry.name);
+        }
+        let overruled = || self.fleet.as_ref().is_some_and(|fleet| fleet.overrules(&entry.name));
         let state = match entry.status {
+            Status::Active if host.address.get().is_some() && overruled() => HostState::Draining,
             Status::Active if host.address.get().is_some() => HostState::Up,
             Status::Active | Status::Left => HostState::Removed,
             Status::Leaving | Status::Unknown => HostState::Draining,
@@ -643,7 +757,13 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { request, host, until } => self.send(request, host, until),
+            Action::Send { request, host, until } => {
+                if self.fleet.is_some() {
+                    let again = self.requests.get(&request).is_some_and(|e| !e.attempts.is_empty());
+                    self.book(if again { Kind::Resend } else { Kind::Pick }, request, Some(host));
+                }
+                self.send(request, host, until);
+            }
             Action::Until { request, until } => {
                 let until = self.handle.instant(until);
                 if let Some(entry) = self.requests.get(&request) {
@@ -656,7 +776,10 @@
                     cancel.notify_one();
                 }
             }
-            Action::Refuse { request, keep_away } => self.finish(request, Final::Refused { keep_away }),
+            Action::Refuse { request, keep_away } => {
+                self.book(Kind::Refuse, request, None);
+                self.finish(request, Final::Refused { keep_away });
+            }
             Action::Fail { request } => {
                 let late = self.requests.get(&request).is_some_and(|e| e.last == Outcome::TimedOut);
                 let status = if late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -10,6 +10,7 @@
 use crate::core::messages::{Handle, Message, Retune};
 use crate::core::Gateway;
 use crate::figures::Figures;
+use crate::fleet::{Basis, Fleet};
 use crate::listeners::http::{Server, Terms};
 use crate::listeners::management;
 use crate::sockets::Budget;
@@ -50,6 +51,17 @@
     source: std::io::Error,
 }
 
+/// The link's address can't be listened on.
+#[derive(Debug, thiserror::Error)]
+#[error(
+    "cannot listen on {address}, which is `listen` of [fleet] in the operator's file, or this gateway's [[fleet.peer]]: {source}; \
+     end the process that has it, or name an address of this machine that is free"
+)]
+struct LinkError {
+    address: SocketAddr,
+    source: std::io::Error,
+}
+
 fn listen(
     key: &'static str,
     variable: &'static str,
@@ -90,6 +102,7 @@
     }
 
     fn apply(&mut self, config: Config) {
+        let digest = config.site_digest();
         self.classes.take(self.gateway.time(Instant::now()), config.named_classes());
         let settings = Settings { classes: self.classes.by_number(), ..config.settings };
         self.service.figures.know(&config.classes);
@@ -99,7 +112,13 @@
             file is in force");
         // The owner of the decisions hears of them ahead of the first request that comes under them.
         let Config { names, discovery, connections, .. } = config;
-        self.gateway.tell(Message::Retune(Box::new(Retune { settings, names, discovery, connections })));
+        self.gateway.tell(Message::Retune(Box::new(Retune {
+            settings,
+            names,
+            discovery,
+            connections,
+            digest,
+        })));
         self.server.turn_to(terms);
         self.running = config.document;
     }
@@ -131,11 +150,25 @@
 ///
 /// # Errors
 /// Where it can't start, or has ended without being told to.
-pub async fn serve(operator: Operator, handed: Option<std::net::TcpListener>) -> Result<(), Box<dyn Error>> {
+pub async fn serve(
+    operator: Operator,
+    handed: Option<std::net::TcpListener>,
+    fleet_left_off: bool,
+) -> Result<(), Box<dyn Error>> {
     // Before anything else: by default either signal ends the process.
     let (mut terminate, hang_up) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
     operator.log.begin();
-    let config = Config::at_start()?;
+    if fleet_left_off {
+        info!("[fleet] is in the operator's file and stays off: it takes effect with `run --fleet`");
+    }
+    let mut config = Config::at_start()?;
+    let spoken = operator.fleet.as_ref().map_or(0, Fleet::descriptors);
+    config.leave(spoken)?;
+    let basis = operator.fleet.as_ref().map(|_| Basis {
+        config: config.site_digest(),
+        operator: operator.digest(),
+        discovery: config.discovery,
+    });
     let mut classes = Classes::default();
     classes.take(Duration::ZERO, config.named_classes());
     let budget = Budget::new(&config.limits, config.management.is_some());
@@ -150,8 +183,19 @@
         gateway.control_storms(settings);
     }
     let shared = handed.is_some();
+    let fleet = operator
+        .fleet
+        .clone()
+        .zip(basis)
+        .map(|(settings, basis)| Fleet::new(settings, &basis, handle.clone()));
+    let mut link = None;
+    if let (Some(fleet), Some(settings)) = (&fleet, &operator.fleet) {
+        link = Fleet::listen(settings, shared)
+            .map_err(|source| LinkError { address: settings.listen, source })?;
+        gateway.join(fleet.clone());
+    }
     let leaving = drain::Terms { longest: longest(&settings), shared };
-    let service = Rc::new(Service::new(leaving, handle.clone(), figures.clone()));
+    let service = Rc::new(Service::new(leaving, handle.clone(), figures.clone(), fleet.clone()));
     if let Some(address) = config.management {
         let listener = listen("management", "ROUTER_MANAGEMENT", address)?;
         info!(address = %listener.local_addr()?, "calls are answered");
@@ -181,8 +225,14 @@
             handover::stand_by(folder, &handle, &budget, &service).await;
         }
     };
+    let belonging = async {
+        if let Some(fleet) = &fleet {
+            fleet.clone().run(link).await;
+        }
+    };
     let running = async {
         tokio::join!(
+            belonging,
             gateway.run(),
             pool.sweep(closed),
             server.feel_pulse(),
@@ -232,6 +282,9 @@
             server.accept_rest(listener)?;
         }
         server.finish().await;
+        if let Some(fleet) = &fleet {
+            fleet.leave().await;
+        }
         Ok(())
     };
     tokio::select! {
--- a/crates/gateway/src/daemon/service.rs
+++ b/crates/gateway/src/daemon/service.rs
@@ -3,6 +3,7 @@
 
 use crate::core::messages::Handle;
 use crate::figures::Figures;
+use crate::fleet::Fleet;
 use ottervane_control::drain::{Drain, Terms};
 use ottervane_control::handover::{Awaited, Entry};
 use std::cell::{Cell, RefCell};
@@ -25,11 +26,12 @@
     pub stopped: Notify,
     /// The figures.
     pub figures: Rc<Figures>,
+    fleet: Option<Rc<Fleet>>,
 }
 
 impl Service {
     /// In service, once it awaits nothing more.
-    pub fn new(terms: Terms, gateway: Handle, figures: Rc<Figures>) -> Service {
+    pub fn new(terms: Terms, gateway: Handle, figures: Rc<Figures>, fleet: Option<Rc<Fleet>>) -> Service {
         let hosts_up = gateway.hosts_up();
         Service {
             start: Instant::now(),
@@ -41,6 +43,7 @@
             changed: Notify::new(),
             stopped: Notify::new(),
             figures,
+            fleet,
         }
     }
 
@@ -59,7 +62,7 @@
             _ if self.stopping() => Some("stopping"),
             Some(Awaited::Discovery) => Some("waiting for discovery's first word"),
             _ if !self.hosts_up.get() => Some("no host in discovery's list takes work"),
-            _ => None,
+            _ => self.fleet.as_ref().and_then(|fleet| fleet.unready()),
         }
     }
 
--- /dev/null
+++ b/crates/gateway/src/fleet/mod.rs
@@ -0,0 +1,307 @@
+//! This gateway's part in its fleet, on sockets: off, and none of it built, without `[fleet]` in the operator's file and `--fleet`.
+//!
+//! [`Agent`] decides; here is what carries it out: [`link`] the connections to the others, [`staff`] the answers to questions,
+//! [`commands`] the questions. `core` asks how this process stands before it acts, and books what it does.
+
+pub mod commands;
+mod link;
+mod staff;
+
+use crate::core::messages::{Handle, Message};
+use ottervane::HostId;
+use ottervane_fleet::agent::{Acting, Agent, Output};
+use ottervane_fleet::audit::{Audit, Decision, Exception, Kind};
+use ottervane_fleet::council::TICK;
+use ottervane_fleet::departures::Departures;
+use ottervane_fleet::settings::FleetSettings;
+use ottervane_fleet::version::{digest, Incarnation, Listed, Version};
+use ottervane_fleet::wire::Gone;
+use std::cell::{Cell, RefCell};
+use std::collections::hash_map::RandomState;
+use std::hash::{BuildHasher, Hasher};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, Instant, MissedTickBehavior};
+use tracing::{info, warn};
+
+/// What has been said at the end has this long to leave.
+const FLUSH: Duration = Duration::from_millis(200);
+
+/// What this process acts on, as far as it is known at the start; the list comes later.
+pub struct Basis {
+    /// A digest of the platform's configuration, without what differs from gateway to gateway.
+    pub config: u64,
+    /// A digest of the operator's file, likewise.
+    pub operator: u64,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+}
+
+/// A number that no other process has had or will have, however the wall clock is set.
+fn incarnation() -> Incarnation {
+    // The library's keys are the system's random numbers.
+    let mut hasher = RandomState::new().build_hasher();
+    hasher.write_u32(std::process::id());
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    hasher.write_u128(unix.as_nanos());
+    Incarnation(hasher.finish() | 1)
+}
+
+/// The version with a digest of the program itself: two builds may share a version.
+fn build() -> String {
+    let program = std::env::current_exe().and_then(std::fs::read).map(|bytes| digest(&bytes));
+    match program {
+        Ok(digest) => format!("{}+{digest:016x}", env!("CARGO_PKG_VERSION")),
+        Err(_) => format!("{}+unknown", env!("CARGO_PKG_VERSION")),
+    }
+}
+
+/// This gateway's part.
+pub struct Fleet {
+    settings: FleetSettings,
+    terms: u64,
+    start: Instant,
+    agent: RefCell<Agent>,
+    audit: RefCell<Audit>,
+    version: RefCell<Version>,
+    /// Whether the configuration names the lineage; otherwise it is the address of discovery.
+    departures: RefCell<Departures>,
+    /// Hosts by number; a name is kept as long as a host has that number.
+    hosts: RefCell<Vec<Rc<str>>>,
+    told: Cell<u64>,
+    links: RefCell<link::Links>,
+    gateway: Handle,
+    /// Wakes who waits for a change of standing.
+    pub changed: Notify,
+}
+
+impl Fleet {
+    /// A part of this process, that speaks to nobody yet.
+    pub fn new(settings: FleetSettings, basis: &Basis, gateway: Handle) -> Rc<Fleet> {
+        let lineage = settings.lineage.clone().unwrap_or_else(|| basis.discovery.to_string());
+        let version = Version {
+            list: Listed { lineage, index: 0 },
+            config: basis.config,
+            generation: 1,
+            operator: basis.operator,
+            build: build(),
+        };
+        let process = incarnation();
+        let agent = Agent::new(settings.clone(), process, version.clone(), process.0);
+        info!(
+            fleet = settings.name, gateway = settings.gateway, %process, peers = settings.peers.len(), build = version.build,
+            "this gateway is in a fleet"
+        );
+        Rc::new(Fleet {
+            terms: settings.digest(),
+            start: Instant::now(),
+            agent: RefCell::new(agent),
+            audit: RefCell::new(Audit::new(Duration::ZERO, version.clone())),
+            version: RefCell::new(version),
+            departures: RefCell::default(),
+            hosts: RefCell::default(),
+            told: Cell::default(),
+            links: RefCell::new(link::Links::default()),
+            gateway,
+            settings,
+            changed: Notify::new(),
+        })
+    }
+
+    /// So many descriptors it may have open: a link to or from each peer that there is one with, staff, and what listens.
+    pub fn descriptors(settings: &FleetSettings) -> usize {
+        let seated = settings.peers.iter().any(|p| p.council && p.name == settings.gateway);
+        let linked = if seated { settings.peers.len() } else { settings.council().len() };
+        linked + link::STAFF + 2
+    }
+
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// Has the agent hear of something, and carries out what it says.
+    fn step(&self, event: impl FnOnce(&mut Agent, Duration, &mut Vec<Output>)) {
+        let mut out = Vec::new();
+        event(&mut self.agent.borrow_mut(), self.now(), &mut out);
+        for output in out {
+            match output {
+                Output::Send { to, frame } => self.links.borrow_mut().send(&to, &frame),
+                Output::End(peer) => self.links.borrow_mut().end(&peer),
+                Output::Standing(acting) => {
+                    let fine = matches!(acting, Acting::InSession(_));
+                    if fine {
+                        info!(standing = %acting, "fleet");
+                    } else {
+                        warn!(standing = %acting, takes_clients = self.takes_clients(), "fleet");
+                    }
+                    self.changed.notify_one();
+                }
+                Output::AskDiscovery { current } => self.gateway.tell(Message::Behind { current }),
+                Output::Reread { required } => warn!(
+                    required = format!("{required:016x}"),
+                    own = format!("{:016x}", self.version.borrow().config),
+                    "fleet: staff require another configuration than this process has; put the file in place and send SIGHUP"
+                ),
+                Output::Gone(gone) => self.gateway.tell(Message::Told(gone)),
+                Output::Note(text) => info!("fleet: {text}"),
+            }
+        }
+        let agent = self.agent.borrow();
+        self.told.set(agent.news().current.unwrap_or_default());
+    }
+
+    /// Whether clients are taken at this moment.
+    pub fn takes_clients(&self) -> bool {
+        self.agent.borrow().takes_clients(self.now())
+    }
+
+    /// Why they are not, in a word.
+    pub fn unready(&self) -> Option<&'static str> {
+        let agent = self.agent.borrow();
+        match agent.acting(self.now()) {
+            _ if agent.takes_clients(self.now()) => None,
+            Acting::Out(_) => Some("shut out of the fleet"),
+            _ => Some("without a session in the fleet"),
+        }
+    }
+
+    /// A number stands for this host from now on.
+    pub fn know_host(&self, id: HostId, name: &str) {
+        let mut hosts = self.hosts.borrow_mut();
+        let at = id.0 as usize;
+        if hosts.len() <= at {
+            hosts.resize(at + 1, Rc::from(""));
+        }
+        if &*hosts[at] != name {
+            hosts[at] = Rc::from(name);
+        }
+    }
+
+    /// Whether others' newer lists forbid anything new to a host.
+    pub fn overrules(&self, host: &str) -> bool {
+        self.departures.borrow().overrules(host)
+    }
+
+    /// Others say that hosts leave or are gone; gives those to turn away from.
+    pub fn told_gone(&self, gone: &[Gone]) -> Vec<String> {
+        let own = self.version.borrow().list.index;
+        self.departures.borrow_mut().told(own, gone)
+    }
+
+    /// A list of this index is about to be taken in.
+    pub fn lists(&self, index: u64) {
+        self.departures.borrow_mut().listed(index);
+    }
+
+    /// A list is in force, by which these hosts leave or are gone that did not before.
+    pub fn listed(&self, index: u64, departed: Vec<(String, bool)>) {
+        let list = Listed { index, ..self.version.borrow().list.clone() };
+        self.turn_to(|version| version.list = list.clone());
+        for (host, _) in &departed {
+            let decision = Decision { kind: Kind::Drain, class: 0, request: "", host: Some(host) };
+            self.audit.borrow_mut().book(self.now(), decision);
+        }
+        if !departed.is_empty() {
+            self.step(|agent, now, out| agent.departed(now, list, departed, out));
+        }
+    }
+
+    /// Another configuration is in force.
+    pub fn configured(&self, config: u64, discovery: SocketAddr) {
+        let lineage = self.settings.lineage.clone().unwrap_or_else(|| discovery.to_string());
+        self.turn_to(|version| {
+            version.config = config;
+            version.generation += 1;
+            if version.list.lineage != lineage {
+                version.list = Listed { lineage, index: 0 };
+                self.departures.borrow_mut().forget();
+            }
+        });
+    }
+
+    fn turn_to(&self, change: impl FnOnce(&mut Version)) {
+        change(&mut self.version.borrow_mut());
+        let version = self.version.borrow().clone();
+        self.audit.borrow_mut().turn_to(self.now(), version.clone());
+        self.step(|agent, now, out| agent.turn_to(now, version, out));
+    }
+
+    /// Books a decision about a request, and what speaks against it.
+    pub fn book(&self, kind: Kind, class: usize, request: &str, host: Option<HostId>) {
+        let now = self.now();
+        let hosts = self.hosts.borrow();
+        let host = host.and_then(|id| hosts.get(id.0 as usize)).map(|name| &**name);
+        let mut audit = self.audit.borrow_mut();
+        audit.book(now, Decision { kind, class, request, host });
+        let sends = matches!(kind, Kind::Pick | Kind::Resend);
+        match self.agent.borrow().acting(now) {
+            Acting::InSession(_) => {}
+            Acting::Alone => audit.except(now, Exception::WithoutSession, request),
+            // What it held when it was shut out it finishes; what comes is refused, as it should be.
+            Acting::Out(_) if kind == Kind::Pick => audit.except(now, Exception::ShutOut, request),
+            Acting::Out(_) => {}
+        }
+        if !sends {
+            return;
+        }
+        let (own, told) = (self.version.borrow().list.index, self.told.get());
+        if told > own {
+            audit.except(now, Exception::OlderThanTold { own, told }, request);
+        }
+        if let Some(host) = host.filter(|host| self.overrules(host)) {
+            audit.except(now, Exception::ToldGone { host: host.to_owned() }, request);
+        }
+    }
+
+    /// Runs its part for as long as it is polled.
+    pub async fn run(self: Rc<Self>, listener: Option<TcpListener>) {
+        for peer in self.settings.peers.clone() {
+            let (own, seated) = (self.settings.gateway.clone(), self.seated());
+            // Of two members, the first by name calls the other; whoever has no seat calls all that have.
+            if peer.council && peer.name != own && (!seated || own < peer.name) {
+                spawn_local(link::call(self.clone(), peer));
+            }
+        }
+        match listener {
+            Some(listener) => drop(spawn_local(link::answer(self.clone(), listener))),
+            None => drop(spawn_local(link::listen_later(self.clone()))),
+        }
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.step(|agent, now, out| agent.tick(now, out));
+        }
+    }
+
+    fn seated(&self) -> bool {
+        self.settings.peers.iter().any(|p| p.council && p.name == self.settings.gateway)
+    }
+
+    /// Ends the session in order.
+    pub async fn leave(&self) {
+        self.step(|agent, now, out| agent.close(now, out));
+        // Where this process has a seat, what it has just proposed has to reach the others.
+        let until = Instant::now() + FLUSH;
+        while Instant::now() < until {
+            sleep(TICK / 5).await;
+            self.step(|agent, now, out| agent.tick(now, out));
+        }
+    }
+
+    /// Binds the link's address; none where another process of this gateway has it still.
+    ///
+    /// # Errors
+    /// Where it can't be bound for another reason.
+    pub fn listen(settings: &FleetSettings, shared: bool) -> std::io::Result<Option<TcpListener>> {
+        match link::bind(settings.listen) {
+            Ok(listener) => Ok(Some(listener)),
+            Err(error) if shared && error.kind() == std::io::ErrorKind::AddrInUse => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A folder for each side: [`core`] owns the module and the request table, [`listeners`] take requests in,
 //! [`upstream`] sends them on, [`discovery`] brings news of the hosts, [`daemon`] is the process, [`config`] what it
-//! is told. [`limits`], [`names`], [`exchange`] and [`sockets`] are leaves that several of them use.
+//! is told, [`fleet`] its part among others. [`limits`], [`names`], [`exchange`] and [`sockets`] are leaves that several of them use.
 
 pub mod config;
 pub mod core;
@@ -10,6 +10,7 @@
 pub mod discovery;
 pub mod exchange;
 pub mod figures;
+pub mod fleet;
 mod framing;
 pub mod limits;
 pub mod listeners;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,10 +1,13 @@
 //! The gateway's command line.
 
 use clap::{Parser, Subcommand};
+use ottervane_fleet::settings::FleetSettings;
 use ottervane_gateway::config::operator::Operator;
 use ottervane_gateway::config::platform::Config;
 use ottervane_gateway::daemon;
+use ottervane_gateway::fleet::commands::{self, Shown};
 use std::error::Error;
+use std::future::Future;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tokio::task::LocalSet;
@@ -13,7 +16,7 @@
 ///
 /// Without a subcommand it runs, as the platform starts it: ROUTER_CONFIG names its file.
 /// Exit codes: 0, it was told to stop and has, or the file is as it should be; 1, it can't start or has broken down;
-/// 2, the command or a file that was to be checked is not as it should be.
+/// 2, the command or a file that was to be checked is not as it should be; 3, some gateways of the fleet could not be asked.
 #[derive(Parser)]
 #[command(name = "ottervane-gateway", version)]
 struct Arguments {
@@ -27,7 +30,27 @@
 #[derive(Subcommand)]
 enum Sub {
     /// Run, as without a subcommand.
-    Run,
+    Run {
+        /// Be part of the fleet that the operator's file names in its table [fleet].
+        #[arg(long)]
+        fleet: bool,
+    },
+    /// Ask or tell the fleet of the operator's file. Exit code 3: some gateways could not be asked, or nothing was decided.
+    Fleet {
+        #[command(subcommand)]
+        command: commands::Command,
+        /// Print JSON.
+        #[arg(long, global = true)]
+        json: bool,
+    },
+    /// Ask all gateways of the fleet what they did under which version. Exit code 3: some could not be asked.
+    Audit {
+        #[command(flatten)]
+        arguments: commands::AuditArgs,
+        /// Print JSON.
+        #[arg(long)]
+        json: bool,
+    },
     /// Say whether a file is as it should be, and start nothing: a platform's (.json) or an operator's (.toml).
     Check {
         /// The file.
@@ -45,21 +68,59 @@
     Ok(())
 }
 
-fn run(settings: Option<&Path>) -> Result<(), Box<dyn Error>> {
-    let handed = daemon::inherited::listener()?; // ahead of whatever this process opens
-    let operator = settings.map_or_else(|| Ok(Operator::default()), Operator::read)?;
+fn run(settings: Option<&Path>, fleet: bool) -> Result<(), Box<dyn Error>> {
+    // A flag that finds no table is an error before anything is opened; the descriptor handed on is claimed ahead of what this
+    // process opens, and the file has been closed again by then.
+    let mut operator = settings.map_or_else(|| Ok(Operator::default()), Operator::read)?;
+    if fleet && operator.fleet.is_none() {
+        return Err("--fleet needs the table [fleet] in the operator's file; name the file with --settings, or leave the flag out".into());
+    }
+    let handed = daemon::inherited::listener()?;
+    let left_off = !fleet && operator.fleet.take().is_some();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, daemon::serve(operator, handed))
+    LocalSet::new().block_on(&runtime, daemon::serve(operator, handed, left_off))
+}
+
+/// The fleet of the operator's file, for a command.
+fn fleet_of(settings: Option<&Path>) -> Result<FleetSettings, Box<dyn Error>> {
+    let file = settings.ok_or("name the operator's file with --settings FILE")?;
+    let fleet = Operator::read(file)?.fleet;
+    Ok(fleet.ok_or_else(|| format!("{} has no table [fleet]", file.display()))?)
+}
+
+/// Has a command carried out, and shows what came of it.
+fn ask<E: Into<Box<dyn Error>>>(
+    asking: impl Future<Output = Result<Shown, E>>,
+) -> Result<ExitCode, Box<dyn Error>> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let shown = runtime.block_on(asking).map_err(Into::into)?;
+    print!("{}", shown.text);
+    Ok(if shown.whole && shown.done { ExitCode::SUCCESS } else { ExitCode::from(3) })
 }
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
+    let settings = arguments.settings.as_deref();
+    let well = |()| ExitCode::SUCCESS;
     let (done, failure) = match &arguments.command {
-        Some(Sub::Check { file }) => (check(file), ExitCode::from(2)),
-        None | Some(Sub::Run) => (run(arguments.settings.as_deref()), ExitCode::FAILURE),
+        Some(Sub::Check { file }) => (check(file).map(well), ExitCode::from(2)),
+        None => (run(settings, false).map(well), ExitCode::FAILURE),
+        Some(Sub::Run { fleet }) => (run(settings, *fleet).map(well), ExitCode::FAILURE),
+        Some(Sub::Fleet { command, json }) => {
+            let asked = fleet_of(settings).and_then(|fleet| ask(commands::command(&fleet, command, *json)));
+            (asked, ExitCode::from(2))
+        }
+        Some(Sub::Audit { arguments, json }) => {
+            let asked = fleet_of(settings).and_then(|fleet| {
+                ask(async {
+                    Ok::<_, commands::CommandError>(commands::audit(&fleet, arguments, *json).await)
+                })
+            });
+            (asked, ExitCode::from(2))
+        }
     };
     match done {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(error) => {
             eprintln!("ottervane-gateway: {error}");
             failure
