--- /dev/null
+++ b/crates/gateway/tests/whole.rs
@@ -0,0 +1,43 @@
+//! Several processes of the program as one fleet, with faults between them: each link through a relay, nodes, registers and clients
+//! round them. What has to hold is judged by the rig, from what nodes, registers, clients and logs saw.
+
+use ottervane_rig::whole::live;
+use ottervane_rig::whole::script::Script;
+use std::path::Path;
+
+/// Plays a script that ships.
+fn play(name: &str) {
+    let path = format!("{}/../rig/fleet/{name}.toml", env!("CARGO_MANIFEST_DIR"));
+    let text = std::fs::read_to_string(&path).expect("the script");
+    let script = Script::parse(&path, &text).expect("as it should be");
+    let folder = live::folder_of(&script, 1, Path::new(env!("CARGO_TARGET_TMPDIR"))).expect("a folder");
+    let program = Path::new(env!("CARGO_BIN_EXE_ottervane-gateway"));
+    let (report, told) = live::play(&script, 1, program, &folder).expect("it can be played");
+    assert!(report.breaches.is_empty(), "{:#?}\n{}", report.breaches, told.join("\n"));
+    assert!(report.figures.asked > 1000 && report.figures.audited > 100, "{:?}", report.figures);
+}
+
+#[test]
+fn straggler() {
+    play("straggler");
+}
+
+#[test]
+fn cut_council() {
+    play("cut-council");
+}
+
+#[test]
+fn paused_member() {
+    play("paused-member");
+}
+
+#[test]
+fn rolling() {
+    play("rolling");
+}
+
+#[test]
+fn flapping() {
+    play("flapping");
+}
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -9,6 +9,7 @@
 use ottervane_rig::simulate::simulate;
 use ottervane_rig::sweep::{self, plot, study, table, Study};
 use ottervane_rig::timeline::svg;
+use ottervane_rig::whole;
 use std::error::Error;
 use std::io::{IsTerminal, Write};
 use std::path::{Path, PathBuf};
@@ -58,6 +59,26 @@
         #[arg(long, default_value_t = f64::INFINITY)]
         until: f64,
     },
+    /// Play a script of faults on a whole fleet: its links, its council, its audit.
+    Fleet {
+        /// The script.
+        script: PathBuf,
+        /// The seed of all draws.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// In virtual time, with the decisions in process; otherwise on real processes.
+        #[arg(long = "virtual")]
+        in_virtual_time: bool,
+        /// The gateway's program; without it the one of this workspace is built and used.
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// Write the report as JSON to this file.
+        #[arg(long)]
+        json: Option<PathBuf>,
+        /// Write what happened, line by line, to this file.
+        #[arg(long)]
+        history: Option<PathBuf>,
+    },
     /// Say whether a script is as it should be.
     Check {
         /// The script.
@@ -243,6 +264,32 @@
             print!("{}", count::Counts::of(&folder, every, (from, until))?.tables());
             Ok(ExitCode::SUCCESS)
         }
+        Sub::Fleet { script, seed, in_virtual_time, program: named, json, history } => {
+            let text = std::fs::read_to_string(&script).map_err(|e| format!("{}: {e}", script.display()))?;
+            let script = whole::script::Script::parse(&script.display().to_string(), &text)?;
+            let (breaches, report, told) = if in_virtual_time {
+                let played = whole::virtual_time::play(&script, seed, whole::virtual_time::Mistake::None);
+                let report = serde_json::json!({
+                    "script": script.name, "seed": seed, "breaches": played.breaches, "figures": played.figures,
+                });
+                (played.breaches, report, played.history.text())
+            } else {
+                let program = named.map_or_else(program, Ok)?;
+                let folder = whole::live::folder_of(&script, seed, &std::env::temp_dir())?;
+                let played = whole::live::play(&script, seed, &program, &folder);
+                let _ = std::fs::remove_dir_all(&folder); // what is left there harms nobody
+                let (report, told) = played?;
+                (report.breaches.clone(), serde_json::to_value(&report)?, told.join("\n") + "\n")
+            };
+            println!("{report:#}");
+            if let Some(path) = &json {
+                write_file(path, &format!("{report:#}\n"))?;
+            }
+            if let Some(path) = &history {
+                write_file(path, &told)?;
+            }
+            Ok(ExitCode::from(u8::from(!breaches.is_empty())))
+        }
         Sub::Sweep(arguments) => run_study(&arguments),
         Sub::Simulate { play } => {
             let script = read(&play.script)?;
--- a/crates/rig/src/whole/mod.rs
+++ b/crates/rig/src/whole/mod.rs
@@ -2,5 +2,8 @@
 //! in process, or on real processes with a relay in each link. One history of each play is what the checks read.
 
 pub mod history;
+pub mod live;
+pub mod place;
+mod relay;
 pub mod script;
 pub mod virtual_time;
--- a/crates/rig/src/whole/script.rs
+++ b/crates/rig/src/whole/script.rs
@@ -103,6 +103,10 @@
     pub most_out: f64,
     /// A new list comes this often.
     pub lists: Duration,
+    /// From then on lists say that the last node leaves; on real processes only.
+    pub leaves: Option<Duration>,
+    /// A gateway without a session refuses; otherwise it serves.
+    pub refuses_alone: bool,
     /// What happens.
     pub events: Vec<Event>,
     /// What comes of it, beside what always has to hold.
@@ -201,6 +205,8 @@
             behind: (root.within("behind", 1..=1000, 3), root.or("behind_for", Duration::from_secs(2))),
             most_out: root.within("shut_out_most", 0.0..=0.5, 0.2),
             lists: root.or("lists", Duration::from_millis(500)),
+            leaves: root.get("leaves"),
+            refuses_alone: root.or("refuses_alone", false),
             events: root.tables("event").iter().filter_map(|t| event(t, gateways_in_all)).collect(),
             expected: expected.unwrap_or_default(),
         };
@@ -260,6 +266,8 @@
             behind: (3, Duration::from_secs(2)),
             most_out: 0.2,
             lists: Duration::from_millis(500),
+            leaves: None,
+            refuses_alone: false,
             events,
             expected: Expected::default(),
         }
--- a/crates/rig/src/whole/virtual_time.rs
+++ b/crates/rig/src/whole/virtual_time.rs
@@ -204,7 +204,7 @@
             peers: (0..self.script.gateways).map(peer).collect(),
             lineage: None,
             lease: Lease { length: self.script.lease, margin: self.script.margin },
-            alone: Alone::Serve,
+            alone: if self.script.refuses_alone { Alone::Refuse } else { Alone::Serve },
             stragglers: Stragglers {
                 versions: self.script.behind.0,
                 time: self.script.behind.1,
