--- a/crates/rig/tests/whole.rs
+++ b/crates/rig/tests/whole.rs
@@ -121,3 +121,90 @@
         }
     }
 }
+
+/// A gateway's discovery is stuck, at forty-five gateways.
+fn stuck(gateways: usize, council: usize) -> Script {
+    let mut script = calm(gateways, council, vec![event(4.0, 10.0, &[gateways - 1], None, What::Stick)]);
+    script.expected.shut_out = vec![gateways - 1];
+    script
+}
+
+/// All forty-five processes are replaced within 20 s.
+#[test]
+fn a_rolling_restart_of_forty_five_keeps_one_council() {
+    let replaced = What::Replace { apart: Duration::from_millis(444) };
+    let mut script = calm(45, 3, vec![event(4.0, 20.0, &(0..45).collect::<Vec<_>>(), None, replaced)]);
+    (script.disks, script.lasts) = (true, s(40.0));
+    for seed in 1..=3 {
+        let played = play(&script, seed, Mistake::None);
+        assert!(played.breaches.is_empty(), "{seed}: {:#?}", played.breaches);
+    }
+}
+
+#[test]
+fn a_straggler_among_forty_five_is_shut_out_and_let_in() {
+    let played = play(&stuck(45, 3), 1, Mistake::None);
+    assert!(played.breaches.is_empty(), "{:#?}\n{}", played.breaches, played.history.text());
+    assert_eq!((played.figures.to_shut_out_s.len(), played.figures.to_let_in_s.len()), (1, 1));
+}
+
+/// A discovery that is ahead at one gateway alone, or stuck at most of them: nobody is shut out but by what most have.
+#[test]
+fn most_of_the_fleet_stuck_shuts_nobody_out() {
+    let mut script = calm(9, 3, vec![event(4.0, 10.0, &[2, 3, 4, 5, 6, 7, 8], None, What::Stick)]);
+    script.lasts = s(24.0);
+    let played = play(&script, 1, Mistake::None);
+    assert!(played.breaches.is_empty(), "{:#?}", played.breaches);
+    assert!(played.history.shut_out().is_empty(), "{:?}", played.history.shut_out());
+}
+
+fn spread(mut all: Vec<f64>) -> String {
+    all.sort_by(f64::total_cmp);
+    let at =
+        |part: f64| all.get(((all.len().max(1) - 1) as f64 * part) as usize).copied().unwrap_or_default();
+    format!("{:.2} {:.2} {:.2}", at(0.5), at(0.95), at(1.0))
+}
+
+/// The figures of docs/measurements/fleet.md. `cargo test --release -p ottervane-rig --test whole -- --ignored --nocapture`
+#[test]
+#[ignore = "a measurement"]
+fn figures() {
+    let leader = |what| Event { whom: Whom::Leader, ..event(5.0, 5.0, &[], None, what) };
+    let cut_from_one = |n: usize| Event { others: Some(vec![n]), ..leader(CUT) };
+    for (name, council, gateways) in [("3 of 5", 3, 5), ("5 of 45", 5, 45)] {
+        for (what, events) in [
+            ("killed", vec![leader(What::Kill)]),
+            ("paused 5 s", vec![leader(What::Pause)]),
+            ("cut from all", vec![leader(CUT)]),
+            ("cut from one", vec![cut_from_one(1)]),
+            ("its words lost", vec![leader(What::Cut { one_way: true })]),
+        ] {
+            let plays: Vec<_> = (1..=20)
+                .map(|seed| play(&calm(gateways, council, events.clone()), seed, Mistake::None))
+                .collect();
+            let (mut leaderless, mut session) = (Vec::new(), Vec::new());
+            for played in &plays {
+                assert!(played.breaches.is_empty(), "{:?}", played.breaches);
+                leaderless.push(played.figures.leaderless_s);
+                session.push(played.figures.in_session);
+            }
+            println!(
+                "{name} {what:<16} without leader {} in session {}",
+                spread(leaderless),
+                spread(session)
+            );
+        }
+    }
+    for (gateways, council) in [(5, 3), (45, 3), (300, 5)] {
+        let calm = play(&calm(gateways, council, vec![]), 1, Mistake::None).figures;
+        let plays: Vec<_> =
+            (1..=10).map(|seed| play(&stuck(gateways, council), seed, Mistake::None).figures).collect();
+        let out = plays.iter().flat_map(|f| f.to_shut_out_s.clone()).collect();
+        let back = plays.iter().flat_map(|f| f.to_let_in_s.clone()).collect();
+        let each = gateways as f64;
+        println!(
+            "{gateways} gateways: {:.1} frames and {:.0} bytes a second and gateway, {:.1} entries a second; shut out {} let in {}; first session {:?}",
+            calm.frames_s / each, calm.bytes_s / each, calm.entries as f64 / 30.0, spread(out), spread(back), calm.first_session_s
+        );
+    }
+}
