--- a/crates/gateway/benches/per_request.rs
+++ b/crates/gateway/benches/per_request.rs
@@ -1,7 +1,8 @@
 //! What the gateway costs: its processor time for a request, and the latency it adds.
 //!
 //! Clients ask as fast as they are answered on a few connections, directly at the nodes and through the built gateway
-//! by turns in one run, so that a machine whose speed drifts moves both. Nodes answer at once. At 12 and at 69 nodes.
+//! by turns in one run, so that a machine whose speed drifts moves both. Nodes answer at once. At 12 and at 69 nodes, and at 12 in
+//! a fleet of three that books what it does; the other two are idle.
 //!
 //!     cargo bench -p ottervane-gateway [-- ROUNDS]
 
@@ -60,7 +61,28 @@
     }
 }
 
-fn start_gateway(nodes: &[SocketAddr], register: &ScriptedRegister) -> (Child, SocketAddr) {
+/// The operator's files of a fleet of three, on ports that were free a moment ago.
+fn fleet_files() -> Vec<String> {
+    let free: Vec<_> = (0..3).map(|_| std::net::TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
+    let address = |n: usize| free[n].local_addr().expect("an address");
+    let peer =
+        |n: usize| format!("[[fleet.peer]]\nname = \"g{n}\"\naddress = \"{}\"\ncouncil = true\n", address(n));
+    let peers: String = (0..3).map(peer).collect();
+    let file = |n: usize| {
+        let path = format!("{}/bench-fleet-{n}.toml", env!("CARGO_TARGET_TMPDIR"));
+        std::fs::write(&path, format!("[fleet]\nname = \"bench\"\ngateway = \"g{n}\"\n{peers}"))
+            .expect("a file");
+        path
+    };
+    (0..3).map(file).collect()
+}
+
+/// A gateway, in a fleet where a file says so.
+fn start_gateway(
+    nodes: &[SocketAddr],
+    register: &ScriptedRegister,
+    fleet: Option<&str>,
+) -> (Child, SocketAddr) {
     let script = Script::parse("bench", "name = \"bench\"").expect("a script");
     let entry = |(n, address): (usize, &SocketAddr)| {
         json!({"name": format!("n{n:02}"), "address": address.to_string(), "zone": "via-dante", "type": "std-2c",
@@ -74,6 +96,9 @@
     std::fs::write(&file, config.to_string()).expect("a file");
     let mut command = Command::new(env!("CARGO_BIN_EXE_ottervane-gateway"));
     command.env("ROUTER_CONFIG", &file).env_remove("ROUTER_LISTEN").env_remove("ROUTER_DISCOVERY");
+    if let Some(settings) = fleet {
+        command.args(["--settings", settings, "run", "--fleet"]);
+    }
     let mut child = command.stderr(Stdio::piped()).spawn().expect("the built gateway");
     let mut log = BufReader::new(child.stderr.take().expect("a log")).lines().map_while(Result::ok);
     let address = log.find_map(|l| listening(&l)).expect("an address");
@@ -136,10 +161,16 @@
     println!(
         "{rounds} rounds of {ROUND:?}, {CONNECTIONS} connections, direct and through the gateway by turns"
     );
-    println!("nodes | CPU a request, us (min, median, max) | added latency, us: median (min, median, max) | p99 | requests a second | unserved");
-    for count in [12, 69] {
+    println!("nodes | fleet | CPU a request, us (min, median, max) | added latency, us: median (min, median, max) | p99 | requests a second | unserved");
+    for (count, in_fleet) in [(12, false), (69, false), (12, true)] {
         let (nodes, register) = (start_nodes(count), ScriptedRegister::start());
-        let (mut gateway, address) = start_gateway(&nodes, &register);
+        let files = if in_fleet { fleet_files() } else { Vec::new() };
+        let others: Vec<_> =
+            files.iter().skip(1).map(|file| start_gateway(&nodes, &register, Some(file)).0).collect();
+        let (mut gateway, address) = start_gateway(&nodes, &register, files.first().map(String::as_str));
+        let idle = cpu(gateway.id());
+        std::thread::sleep(WARM_UP * 3);
+        let idle = (cpu(gateway.id()) - idle).as_secs_f64() / (WARM_UP * 3).as_secs_f64();
         ask(&[address], WARM_UP);
         let (mut cost, mut added, mut added_p99, mut rate, mut unserved) =
             (vec![], vec![], vec![], vec![], 0);
@@ -162,12 +193,18 @@
             format!("{:.1}, {:.1}, {:.1}", figures[0], figures[last / 2], figures[last])
         };
         println!(
-            "{count} | {} | {} | {} | {} | {unserved}",
+            "{count} | {} | {} | {} | {} | {} | {unserved} | idle {:.2}% of a core",
+            if in_fleet { "on" } else { "off" },
             three(&mut cost),
             three(&mut added),
             three(&mut added_p99),
-            three(&mut rate)
+            three(&mut rate),
+            idle * 100.0
         );
+        for mut other in others {
+            let _ = other.kill();
+            let _ = other.wait();
+        }
         let _ = gateway.kill(); // it has done its work
         let _ = gateway.wait();
     }
--- a/crates/gateway/src/fleet/link.rs
+++ b/crates/gateway/src/fleet/link.rs
@@ -33,8 +33,10 @@
 const AGAIN: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(1600));
 /// The most that waits for one peer.
 const QUEUE_FRAMES: usize = 4096;
-/// The same in bytes: twice the longest frame.
-const QUEUE_BYTES: usize = 2 * LONGEST;
+/// The same in bytes, for a member of the council: a whole register and what comes behind it.
+const MEMBER_BYTES: usize = LONGEST + (4 << 20);
+/// And for any other gateway, which gets news alone: hundreds of them may be slow at once.
+const OTHER_BYTES: usize = 256 << 10;
 /// The same fault of the same caller is told so often.
 const TELL_AGAIN: Duration = Duration::from_secs(10);
 /// While the address is another process's, it is tried this often.
@@ -46,6 +48,7 @@
 /// What waits for one peer.
 #[derive(Default)]
 struct Queue {
+    most: usize,
     frames: RefCell<VecDeque<Bytes>>,
     bytes: Cell<usize>,
     more: Notify,
@@ -57,7 +60,7 @@
     fn push(&self, bytes: Vec<u8>) {
         let waiting = self.bytes.get() + bytes.len();
         let mut frames = self.frames.borrow_mut();
-        if waiting > QUEUE_BYTES || frames.len() >= QUEUE_FRAMES {
+        if waiting > self.most || frames.len() >= QUEUE_FRAMES {
             return self.close();
         }
         self.bytes.set(waiting);
@@ -273,7 +276,9 @@
     mut reader: Reader,
     mut writer: Writer,
 ) -> Result<(), String> {
-    let queue = Rc::new(Queue::default());
+    let member = fleet.settings.peers.iter().any(|p| p.council && p.name == name);
+    let most = if member { MEMBER_BYTES } else { OTHER_BYTES };
+    let queue = Rc::new(Queue { most, ..Queue::default() });
     if let Some(before) = fleet.links.borrow_mut().up.insert(name.to_owned(), queue.clone()) {
         before.close();
     }
@@ -336,3 +341,27 @@
     queue.bytes.set(queue.bytes.get() - frame.len());
     Some(frame)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A peer that takes nothing costs what may wait for it, and its link.
+    #[test]
+    fn a_queue_is_bounded_in_bytes_and_frames_and_ends_beyond() {
+        let queue = Queue { most: 1000, ..Queue::default() };
+        for _ in 0..10 {
+            queue.push(vec![0; 100]);
+        }
+        assert!(!queue.over.get() && queue.bytes.get() == 1000);
+        queue.push(vec![0; 1]);
+        assert!(queue.over.get() && queue.bytes.get() == 1000, "nothing more is held");
+        assert_eq!(next_now(&queue).map(|f| f.len()), Some(100));
+        assert_eq!(queue.bytes.get(), 900);
+        let queue = Queue { most: usize::MAX, ..Queue::default() };
+        for _ in 0..=QUEUE_FRAMES {
+            queue.push(Vec::new());
+        }
+        assert!(queue.over.get() && queue.frames.borrow().len() == QUEUE_FRAMES);
+    }
+}
