--- a/crates/fleet/src/agent/mod.rs
+++ b/crates/fleet/src/agent/mod.rs
@@ -170,6 +170,11 @@
         }
     }
 
+    /// Whether a link to this process of a peer may be had now.
+    pub fn admits(&self, now: Duration, peer: &str, process: Incarnation) -> bool {
+        self.members.admits(now, peer, process)
+    }
+
     /// What it acts on.
     pub fn version(&self) -> &Version {
         &self.holder.version
--- a/crates/fleet/src/members/mod.rs
+++ b/crates/fleet/src/members/mod.rs
@@ -128,6 +128,13 @@
         self.peers.get(name)?.linked
     }
 
+    /// Whether a link to this process may take the place of the one that is there. Two processes of one name would else end each other's
+    /// links for ever; one that is silent, or the same process anew, makes room.
+    pub fn admits(&self, now: Duration, name: &str, process: Incarnation) -> bool {
+        let other = self.process(name).is_some_and(|linked| linked != process);
+        !(other && self.view(now, name) == View::Here)
+    }
+
     /// Those a link is up to.
     pub fn reached(&self) -> impl Iterator<Item = &Name> {
         self.peers.iter().filter(|(_, p)| p.linked.is_some()).map(|(name, _)| name)
@@ -216,6 +223,18 @@
         assert_eq!(seen.state(ms(9000), "b"), State::Gone);
     }
 
+    #[test]
+    fn a_second_process_of_a_name_waits_until_the_first_is_silent() {
+        let mut seen = members();
+        assert!(seen.admits(ms(0), "b", Incarnation(1)));
+        seen.linked(ms(0), "b", Incarnation(1));
+        assert!(seen.admits(ms(100), "b", Incarnation(1)), "the same one, on a new connection");
+        assert!(!seen.admits(ms(100), "b", Incarnation(2)));
+        assert!(seen.admits(ms(1000), "b", Incarnation(2)), "the first is paused, or gone without a word");
+        seen.unlinked("b", Down::Broken);
+        assert!(seen.admits(ms(100), "b", Incarnation(2)));
+    }
+
     #[test]
     fn nobody_vouches_for_himself() {
         let mut seen = members();
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -71,6 +71,9 @@
     /// It wanted another.
     #[error("it called {0:?}, which is not who listens here; the peer's address is wrong at the caller")]
     Misled(String),
+    /// Another process has its name, and speaks.
+    #[error("another process of {0:?} is linked and speaks; end one of them, or give it a name of its own")]
+    Doubled(Name),
     /// They would not reckon alike.
     #[error(
         "{0:?} has other terms of the fleet (council, lease, margin, stragglers); give all gateways the same"
--- a/crates/gateway/src/fleet/link.rs
+++ b/crates/gateway/src/fleet/link.rs
@@ -210,7 +210,12 @@
     let known = |name: &str| fleet.settings.peers.iter().any(|p| p.name == name);
     let caller = fleet.greet(&said, &known).map_err(|e| e.to_string())?;
     let to = match &caller {
-        Caller::Gateway { name, .. } => name.clone(),
+        Caller::Gateway { name, process, .. } => {
+            if !fleet.agent.borrow().admits(fleet.now(), name, *process) {
+                return Err(Unfit::Doubled(name.clone()).to_string());
+            }
+            name.clone()
+        }
         Caller::Staff => String::new(),
     };
     let answer = fleet.own_hello(&to).unwrap_or_default();
