--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -1,6 +1,6 @@
 //! This gateway's part in its fleet, on sockets: off, and none of it built, without `[fleet]` in the operator's file and `--fleet`.
 //!
-//! [`Agent`] decides; here is what carries it out: [`link`] the connections to the others, [`staff`] the answers to questions,
+//! [`Agent`] decides; here is what carries it out: `link` the connections to the others, `store` a member's state on disk, `staff` the answers to questions,
 //! [`commands`] the questions. `core` asks how this process stands before it acts, and books what it does.
 
 pub mod commands;
