Let a member's nonsense cost a seat and not the process

Need: the council's library trusts what members say and breaks off where that can't be ('log sync from 599 would overwrite decided entries up to 51435'); inside the agent that ended the whole process with all its clients.

Change: Council::guard runs what touches the library; where it breaks off, the member votes no longer, says and stores nothing of that step, and tells staff. 'No session: ... has the name' is told once in 10 s and not at every asking. What a refused client is told to wait is the lease's renewal time, decided in the agent and not a constant of the gateway's core.

--- a/crates/fleet/src/agent/mod.rs
+++ b/crates/fleet/src/agent/mod.rs
@@ -170,6 +170,12 @@
         }
     }
 
+    /// When a client that is refused for it may come again. One that a gateway without a session refuses finds another, or this one once
+    /// it has reached the council; one that was shut out is let in within its next renewal after it is up to date.
+    pub fn keep_away(&self) -> Duration {
+        self.settings.lease.renew_every()
+    }
+
     /// Whether a link to this process of a peer may be had now.
     pub fn admits(&self, now: Duration, peer: &str, process: Incarnation) -> bool {
         self.members.admits(now, peer, process)
@@ -217,10 +223,7 @@
         out: &mut Vec<Output>,
     ) {
         self.members.linked(now, peer, process);
-        let mut doings = Doings::default();
-        if let Some(council) = &mut self.council {
-            council.linked(peer, voter, &mut doings);
-        }
+        let doings = self.council.as_mut().map(|c| c.linked(peer, voter)).unwrap_or_default();
         self.take(now, doings, out);
         self.finish(now, out);
     }
@@ -262,12 +265,9 @@
         for peer in self.members.half_open(now) {
             out.push(Output::End(peer));
         }
-        let mut doings = Doings::default();
-        if let Some(council) = &mut self.council {
-            council.tick(&mut doings);
-            if paused {
-                self.keeper.start_over(now);
-            }
+        let doings = self.council.as_mut().map(Council::tick).unwrap_or_default();
+        if paused {
+            self.keeper.start_over(now);
         }
         self.take(now, doings, out);
         if let Some(council) = &mut self.council {
@@ -298,10 +298,7 @@
         match frame {
             Frame::Pulse { views } => self.members.told(now, from, &views),
             Frame::Council(word) => {
-                let mut doings = Doings::default();
-                if let Some(council) = &mut self.council {
-                    council.hear(from, word, &mut doings);
-                }
+                let doings = self.council.as_mut().map(|c| c.hear(from, word)).unwrap_or_default();
                 self.take(now, doings, out);
             }
             Frame::Open { .. } | Frame::Renew { .. } | Frame::Departed { .. } | Frame::Close { .. } => {
--- a/crates/fleet/src/agent/session.rs
+++ b/crates/fleet/src/agent/session.rs
@@ -14,6 +14,8 @@
 const ASK_AGAIN: Duration = Duration::from_secs(1);
 /// The configuration is read again this often at most on the word of staff.
 const REREAD: Duration = Duration::from_secs(5);
+/// That another process has this gateway's name is said this often at most.
+const TOLD_TAKEN: Duration = Duration::from_secs(10);
 /// Between the news of the same hosts, told again for lost ones.
 const TELL_AGAIN: u32 = 4;
 /// The most hosts that wait to be told of.
@@ -84,9 +86,19 @@
     told: bool,
     asked_discovery: Option<Duration>,
     reread: Option<Duration>,
+    told_taken: Option<Duration>,
     closed: bool,
 }
 
+/// Whether something may be done again that was last done at a moment; then it is.
+fn due(last: &mut Option<Duration>, now: Duration, every: Duration) -> bool {
+    let due = last.is_none_or(|at| now.saturating_sub(at) >= every);
+    if due {
+        *last = Some(now);
+    }
+    due
+}
+
 impl Holder {
     pub(super) fn new(own: Name, council: Vec<Name>, lease: Lease, version: Version, seed: u64) -> Holder {
         Holder {
@@ -107,6 +119,7 @@
             told: false,
             asked_discovery: None,
             reread: None,
+            told_taken: None,
             closed: false,
         }
     }
@@ -253,11 +266,15 @@
                 }
                 self.answered(from);
                 match taken {
-                    Some(process) => out.push(Output::Note(format!(
-                        "no session: process {process} has the name {} in the fleet; it keeps it until its lease is over, so end it \
-                         or give this gateway a name of its own",
-                        self.own
-                    ))),
+                    Some(process) => {
+                        if due(&mut self.told_taken, now, TOLD_TAKEN) {
+                            out.push(Output::Note(format!(
+                                "no session: process {process} has the name {} in the fleet; it keeps it until its lease is over, so \
+                                 end it or give this gateway a name of its own",
+                                self.own
+                            )));
+                        }
+                    }
                     // The session is over. A new one is asked for at once.
                     None => {
                         self.held = None;
@@ -288,20 +305,13 @@
         if !newer.is_empty() && newer != self.news.gone {
             out.push(Output::Gone(newer));
         }
-        let due = |last: &mut Option<Duration>, every: Duration| {
-            let due = last.is_none_or(|at| now.saturating_sub(at) >= every);
-            if due {
-                *last = Some(now);
-            }
-            due
-        };
         if let Some(current) = news.current.filter(|c| *c > own) {
-            if due(&mut self.asked_discovery, ASK_AGAIN) {
+            if due(&mut self.asked_discovery, now, ASK_AGAIN) {
                 out.push(Output::AskDiscovery { current });
             }
         }
         if let Some(required) = news.config.filter(|c| *c != self.version.config) {
-            if due(&mut self.reread, REREAD) {
+            if due(&mut self.reread, now, REREAD) {
                 out.push(Output::Reread { required });
             }
         }
--- a/crates/fleet/src/council/mod.rs
+++ b/crates/fleet/src/council/mod.rs
@@ -20,6 +20,7 @@
 use omnipaxos::{ClusterConfig, OmniPaxos, OmniPaxosConfig, ServerConfig};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::time::Duration;
 use storage::{Journal, Kept};
 
@@ -299,8 +300,27 @@
         self.others.contains_key(name) || self.name == name
     }
 
+    /// Has the library do something. It trusts what members tell each other, and breaks off where that can't be: then this member votes
+    /// no longer, of what it was about to say and store nothing goes, and the rest of the process lives on.
+    fn guard<T>(&mut self, act: impl FnOnce(&mut Council, &mut Doings) -> T) -> (Option<T>, Doings) {
+        let mut doings = Doings::default();
+        if let Ok(done) = catch_unwind(AssertUnwindSafe(|| act(self, &mut doings))) {
+            return (Some(done), doings);
+        }
+        self.stop_voting();
+        self.journal.replace(Default::default());
+        let note = "the council's library broke off on what a member said: this process votes no longer; start it again, and see which \
+                    member runs another build"
+            .to_owned();
+        (None, Doings { notes: vec![note], ..Doings::default() })
+    }
+
     /// Proposes an entry. Whether it is on its way; it may be lost still, so whoever needs it proposes it again until it is seen.
     pub fn propose(&mut self, entry: Entry) -> bool {
+        self.guard(|council, _| council.append(entry)).0.unwrap_or_default()
+    }
+
+    fn append(&mut self, entry: Entry) -> bool {
         if self.leader().is_none() || self.proposed >= PROPOSED {
             return false;
         }
@@ -313,7 +333,11 @@
     }
 
     /// A link to another member has come up, to this process of it.
-    pub fn linked(&mut self, name: &str, process: Incarnation, out: &mut Doings) {
+    pub fn linked(&mut self, name: &str, process: Incarnation) -> Doings {
+        self.guard(|council, out| council.link(name, process, out)).1
+    }
+
+    fn link(&mut self, name: &str, process: Incarnation, out: &mut Doings) {
         let Some(other) = self.others.get_mut(name) else { return };
         if other.linked != Some(process) {
             other.holds = None;
@@ -340,7 +364,11 @@
     }
 
     /// Time goes on: to be called every [`TICK`].
-    pub fn tick(&mut self, out: &mut Doings) {
+    pub fn tick(&mut self) -> Doings {
+        self.guard(Council::go_on).1
+    }
+
+    fn go_on(&mut self, out: &mut Doings) {
         self.ticks += 1;
         if let Some(voting) = self.known.as_mut().and_then(|k| k.voting.as_mut()) {
             voting.paxos.tick();
@@ -358,7 +386,11 @@
     }
 
     /// A word of another member's process.
-    pub fn hear(&mut self, from: &str, word: Word, out: &mut Doings) {
+    pub fn hear(&mut self, from: &str, word: Word) -> Doings {
+        self.guard(|council, out| council.heed(from, word, out)).1
+    }
+
+    fn heed(&mut self, from: &str, word: Word, out: &mut Doings) {
         let Some(process) = self.others.get(from).and_then(|o| o.linked) else { return };
         match word {
             Word::Holds { tag, follows } => {
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -35,9 +35,6 @@
 /// So many faults of one list are told, each with its entry.
 const FAULTS_TOLD: usize = 3;
 
-/// Who is refused by a gateway that is shut out of its fleet may come again after this, where the settings allow advice.
-const SHUT_OUT: Duration = Duration::from_secs(1);
-
 /// The figures of the hosts are taken this often; they may be half a second late.
 const FIGURES: Duration = Duration::from_millis(250);
 
@@ -350,7 +347,8 @@
             }
             Message::Arrived(arrival) if self.turned_away(&arrival) => {
                 arrival.open.set(false);
-                let keep_away = SHUT_OUT.min(self.settings.max_keep_away);
+                let advised = self.fleet.as_ref().map_or(Duration::ZERO, |fleet| fleet.keep_away());
+                let keep_away = advised.min(self.settings.max_keep_away);
                 let _ = arrival.answer.send(Final::Refused { keep_away }); // a client that has gone wants none
             }
             Message::Arrived(arrival) => {
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -249,6 +249,11 @@
         self.agent.borrow().takes_clients(self.now())
     }
 
+    /// When those that are not may come again.
+    pub fn keep_away(&self) -> Duration {
+        self.agent.borrow().keep_away()
+    }
+
     /// Why they are not, in a word.
     pub fn unready(&self) -> Option<&'static str> {
         let agent = self.agent.borrow();
