Play thin links, full disks, moved discovery and broken configurations on real processes

Change: the scripts' events thin, move, configure and fill-disk on real processes (a relay that meters bytes; a second register and SIGHUP; a limit on the length of a process's files, whose signal is ignored so that writes fail as on a full disk); scripts thin-link, changes, full-disk, in the tests. A gateway that is shut out and whose own discovery was never stuck is a breach, also where another's was.

--- a/crates/gateway/tests/whole.rs
+++ b/crates/gateway/tests/whole.rs
@@ -5,8 +5,8 @@
 use ottervane_rig::whole::script::Script;
 use std::path::Path;
 
-/// Plays a script that ships.
-fn play(name: &str) {
+/// Plays a script that ships; the gateways' logs are to say all of this.
+fn play(name: &str, said: &[&str]) {
     let path = format!("{}/../rig/fleet/{name}.toml", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(&path).expect("the script");
     let script = Script::parse(&path, &text).expect("as it should be");
@@ -14,35 +14,56 @@
     let program = Path::new(env!("CARGO_BIN_EXE_ottervane-gateway"));
     let (report, told) = live::play(&script, 1, program, &folder).expect("it can be played");
     assert!(report.breaches.is_empty(), "{:#?}\n{}", report.breaches, told.join("\n"));
+    for said in said {
+        assert!(told.iter().any(|line| line.contains(said)), "nobody says {said:?}\n{}", told.join("\n"));
+    }
     assert!(report.figures.asked > 1000 && report.figures.audited > 100, "{:?}", report.figures);
 }
 
 #[test]
 fn straggler() {
-    play("straggler");
+    play("straggler", &[]);
 }
 
 #[test]
 fn cut_council() {
-    play("cut-council");
+    play("cut-council", &[]);
 }
 
 #[test]
 fn paused_member() {
-    play("paused-member");
+    play("paused-member", &[]);
 }
 
 #[test]
 fn rolling() {
-    play("rolling");
+    play("rolling", &[]);
 }
 
 #[test]
 fn power_cut() {
-    play("power-cut");
+    play("power-cut", &[]);
 }
 
 #[test]
 fn flapping() {
-    play("flapping");
+    play("flapping", &[]);
+}
+
+#[test]
+fn thin_link() {
+    play("thin-link", &[]);
+}
+
+#[test]
+fn changes() {
+    play("changes", &["nothing of it is applied", "the file is in force"]);
+}
+
+#[test]
+fn full_disk() {
+    play(
+        "full-disk",
+        &["this process votes no longer", "books can't be written", "books are on the disk again"],
+    );
 }
--- a/crates/rig/src/whole/judge.rs
+++ b/crates/rig/src/whole/judge.rs
@@ -32,6 +32,7 @@
         if founded != 1 {
             breaches.push(format!("{founded} councils were founded"));
         }
+        self.judge_configured(&mut breaches).await;
         self.judge_sessions(&mut breaches);
         self.judge_clients(&mut breaches);
         self.judge_departure(&mut breaches);
@@ -48,16 +49,40 @@
                 breaches.push(format!("gateway {gateway} was never without its session"));
             }
         }
-        if !self.script.events.iter().any(|e| matches!(e.what, What::Stick)) {
-            breaches.extend(
-                shut.iter().map(|g| format!("gateway {g} was shut out, and its discovery was never stuck")),
-            );
+        let whom = self.whom.borrow();
+        let sticks = |n: &usize| matches!(self.script.events[*n].what, What::Stick);
+        let stuck: Vec<usize> =
+            whom.iter().filter(|(n, _)| sticks(n)).flat_map(|(_, met)| met.clone()).collect();
+        for gateway in shut.iter().filter(|g| !stuck.contains(g)) {
+            breaches.push(format!("gateway {gateway} was shut out, and its discovery was never stuck"));
         }
         let mut figures = self.figures.borrow_mut();
         figures.leaderless_s = self.leaderless.get().1.as_secs_f64();
         breaches
     }
 
+    /// A configuration that can be read is in force where it was written, and no other is anywhere.
+    async fn judge_configured(&self, breaches: &mut Vec<String>) {
+        let configured = self.configured.borrow().clone();
+        let mut in_force = Vec::new();
+        for n in 0..self.gateways.len() {
+            let status = self.ask(n, Question::Status).await.unwrap_or_default();
+            in_force.push(status["version"]["config"].as_u64());
+        }
+        let Some(common) = (0..in_force.len()).find(|n| !configured.contains_key(n)).map(|n| in_force[n])
+        else {
+            return;
+        };
+        for (n, of) in in_force.iter().enumerate() {
+            let taken = configured.get(&n).is_some_and(|broken| !broken);
+            if (*of == common) == taken {
+                breaches.push(format!(
+                    "gateway {n} has the configuration {of:x?}, where {common:x?} is the others'"
+                ));
+            }
+        }
+    }
+
     /// Nobody serves what came after its session was over and before it had another, where a gateway without one refuses.
     fn judge_sessions(&self, breaches: &mut Vec<String>) {
         let history = self.history.borrow();
--- a/crates/rig/src/whole/live.rs
+++ b/crates/rig/src/whole/live.rs
@@ -11,7 +11,7 @@
 use ottervane_fleet::agent::Acting;
 use ottervane_fleet::register::{Behind, Cause};
 use ottervane_fleet::wire::{self, Caller, Frame, Hello, Question, LONGEST};
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
 use serde::Serialize;
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
@@ -120,6 +120,8 @@
     pub(super) figures: RefCell<Figures>,
     pub(super) logs: RefCell<Vec<String>>,
     pub(super) left: Cell<Option<Duration>>,
+    /// Whose configuration was written anew, and whether so that it can't be read.
+    pub(super) configured: RefCell<BTreeMap<usize, bool>>,
     /// Who was killed, when.
     pub(super) kills: RefCell<Vec<(usize, Duration)>>,
     /// The wall clock at the play's beginning.
@@ -208,6 +210,7 @@
             figures: RefCell::default(),
             logs: RefCell::default(),
             left: Cell::new(None),
+            configured: RefCell::default(),
             kills: RefCell::default(),
             began_unix_ms: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis()
                 as u64,
@@ -217,8 +220,14 @@
     /// Starts a gateway's process, and reads its log for as long as it runs.
     fn start(self: &Rc<Self>, n: usize) -> io::Result<()> {
         let gateway = &self.gateways[n];
-        let mut command = Command::new(&self.program);
-        command.arg("--settings").arg(&gateway.settings).args(["run", "--fleet"]);
+        // A write beyond the limit of a file's length is to fail and not to end the process, as a full disk does.
+        let mut command = Command::new("sh");
+        command
+            .args(["-c", "trap '' XFSZ; exec \"$0\" \"$@\""])
+            .arg(&self.program)
+            .arg("--settings")
+            .arg(&gateway.settings)
+            .args(["run", "--fleet"]);
         command
             .env("ROUTER_CONFIG", &gateway.config)
             .env_remove("ROUTER_LISTEN")
@@ -485,6 +494,35 @@
                     self.trouble(gateway, now, until);
                 }
             }
+            What::Thin { rate } => {
+                for (_, there, back) in self.links(n, event) {
+                    there.thin.set(Some(*rate));
+                    back.thin.set(Some(*rate));
+                }
+            }
+            What::Move => {
+                for gateway in self.met(n, event) {
+                    spawn_local(self.clone().move_discovery(gateway));
+                }
+            }
+            What::Configure { broken } => {
+                for gateway in self.met(n, event) {
+                    self.configured.borrow_mut().insert(gateway, *broken);
+                    self.configure(gateway, |config| {
+                        let settings = &mut config["settings"];
+                        settings["max_attempts"] =
+                            (settings["max_attempts"].as_u64().unwrap_or(2) + 1).into();
+                        if *broken {
+                            *settings = Value::Null;
+                        }
+                    })?;
+                }
+            }
+            What::FillDisk => {
+                for gateway in self.met(n, event) {
+                    self.limit_files(gateway, Some(1));
+                }
+            }
             What::Replace { apart } => {
                 let (play, all, apart) = (self.clone(), self.met(n, event), *apart);
                 spawn_local(async move {
@@ -534,11 +572,54 @@
                     }
                 }
             }
-            What::Flap { .. } | What::Replace { .. } => {}
+            What::Thin { .. } => {
+                for (_, there, back) in self.links(n, event) {
+                    there.thin.set(None);
+                    back.thin.set(None);
+                }
+            }
+            What::FillDisk => {
+                for gateway in self.met(n, event) {
+                    self.limit_files(gateway, None);
+                }
+            }
+            What::Flap { .. } | What::Replace { .. } | What::Move | What::Configure { .. } => {}
         }
         Ok(())
     }
 
+    /// Writes a gateway's configuration anew and says so.
+    fn configure(&self, n: usize, change: impl FnOnce(&mut Value)) -> io::Result<()> {
+        let path = &self.gateways[n].config;
+        let mut config: Value = serde_json::from_slice(&std::fs::read(path)?)?;
+        change(&mut config);
+        std::fs::write(path, config.to_string())?;
+        self.signal(n, Signal::HUP);
+        Ok(())
+    }
+
+    /// A gateway's discovery is elsewhere from now on; the one before tells nothing new.
+    async fn move_discovery(self: Rc<Self>, n: usize) {
+        let there =
+            place::register(n, self.lists.clone(), Rc::default(), self.clock, self.books.clone()).await;
+        self.gateways[n].stuck.set(Some(self.lists.index()));
+        let moved = there
+            .and_then(|there| self.configure(n, |config| config["discovery"] = there.to_string().into()));
+        if let Err(error) = moved {
+            self.logs.borrow_mut().push(format!("g{n}: its discovery can't be moved: {error}"));
+        }
+    }
+
+    /// No file of a gateway's process may be longer than this: what is written beyond fails, as on a full disk.
+    fn limit_files(&self, n: usize, most: Option<u64>) {
+        let running = self.gateways[n].running.borrow();
+        let id = running.as_ref().and_then(|p| p.child.id()).and_then(|id| i32::try_from(id).ok());
+        let limit = Rlimit { current: most, maximum: None };
+        if let Err(error) = prlimit(id.and_then(Pid::from_raw), Resource::Fsize, limit) {
+            self.logs.borrow_mut().push(format!("g{n}: its files can't be limited: {error}"));
+        }
+    }
+
     fn kill(&self, n: usize) {
         let gateway = &self.gateways[n];
         gateway.address.set(None);
--- a/crates/rig/src/whole/relay.rs
+++ b/crates/rig/src/whole/relay.rs
@@ -19,6 +19,8 @@
     pub cut: Cell<u32>,
     /// What passes comes this much later, drawn for each piece.
     pub slow: RefCell<Vec<(Duration, Duration)>>,
+    /// So many bytes pass in a second at most.
+    pub thin: Cell<Option<u64>>,
     draw: Cell<u64>,
     healed: Notify,
 }
@@ -112,7 +114,9 @@
 async fn pump(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, way: &Way) {
     let mut bytes = vec![0; 16 << 10];
     loop {
-        let read = from.read(&mut bytes).await.unwrap_or(0);
+        // A twentieth of a second's worth at a time.
+        let most = way.thin.get().map_or(bytes.len(), |rate| (rate as usize / 20).clamp(1, bytes.len()));
+        let read = from.read(&mut bytes[..most]).await.unwrap_or(0);
         way.open().await; // an end does not pass a cut either
         if read == 0 {
             let _ = to.shutdown().await;
@@ -122,6 +126,9 @@
             sleep(delay).await;
             way.open().await;
         }
+        if let Some(rate) = way.thin.get() {
+            sleep(Duration::from_secs_f64(read as f64 / rate as f64)).await;
+        }
         if to.write_all(&bytes[..read]).await.is_err() {
             return;
         }
--- a/crates/rig/src/whole/script.rs
+++ b/crates/rig/src/whole/script.rs
@@ -28,6 +28,20 @@
     },
     /// Discovery tells them nothing new.
     Stick,
+    /// The links bring so many bytes a second at most; on real processes only.
+    Thin {
+        /// Bytes a second, each way.
+        rate: u64,
+    },
+    /// Their discovery moves: the old one tells nothing new, their configuration names another, and SIGHUP says so; on real processes only.
+    Move,
+    /// Their configuration is written anew and SIGHUP says so; on real processes only.
+    Configure {
+        /// It can't be read, and is to be turned down.
+        broken: bool,
+    },
+    /// Their disks take nothing any more; on real processes only.
+    FillDisk,
     /// Their processes are replaced, one after the other, in order.
     Replace {
         /// From one to the next.
@@ -124,6 +138,10 @@
     Slow,
     Flap,
     Stick,
+    Thin,
+    Move,
+    Configure,
+    FillDisk,
     Replace,
 }
 
@@ -136,6 +154,10 @@
         ("slow", Word::Slow),
         ("flap", Word::Flap),
         ("stick", Word::Stick),
+        ("thin", Word::Thin),
+        ("move", Word::Move),
+        ("configure", Word::Configure),
+        ("fill-disk", Word::FillDisk),
         ("replace", Word::Replace),
     ];
 }
@@ -167,6 +189,10 @@
         Word::Slow => What::Slow { by: table.need("by")? },
         Word::Flap => What::Flap { every: table.need("every")? },
         Word::Stick => What::Stick,
+        Word::Thin => What::Thin { rate: table.within("rate", 100..=1_000_000_000, 1000) },
+        Word::Move => What::Move,
+        Word::Configure => What::Configure { broken: table.or("broken", false) },
+        Word::FillDisk => What::FillDisk,
         Word::Replace => What::Replace { apart: table.or("apart", Duration::ZERO) },
     };
     let others = gateways(table, "others", most);
--- a/crates/rig/src/whole/virtual_time.rs
+++ b/crates/rig/src/whole/virtual_time.rs
@@ -662,6 +662,7 @@
                     self.soon(*apart * k as u32, Do::Replace(gateway));
                 }
             }
+            What::Thin { .. } | What::Move | What::Configure { .. } | What::FillDisk => {}
         }
     }
 
@@ -703,7 +704,7 @@
                     }
                 }
             }
-            What::Flap { .. } | What::Replace { .. } => {}
+            _ => {}
         }
     }
 
