Book the register's position in the audit, and weigh processes at the end of each play

Change: each interval of the audit has the positions of the register that the gateway knew at its beginning and last (it moves with every renewal, so it opens no interval of its own).

--- a/crates/fleet/src/agent/mod.rs
+++ b/crates/fleet/src/agent/mod.rs
@@ -191,6 +191,11 @@
         self.council.as_ref().map(Council::register)
     }
 
+    /// How far it knows the register.
+    pub fn position(&self) -> u64 {
+        self.register().map_or(self.holder.news.position, Register::position)
+    }
+
     /// The council's part, where this gateway has a seat.
     pub fn council(&self) -> Option<&Council> {
         self.council.as_ref()
@@ -388,7 +393,7 @@
             session: self.holder.session(),
             held_ms: self.holder.held_for(now).as_millis() as u64,
             version: self.holder.version.clone(),
-            position: register.map_or(self.holder.news.position, Register::position),
+            position: self.position(),
             current: self.holder.news.current,
             leader: self.council.as_ref().and_then(Council::leader).cloned(),
             council: self.council.as_ref().and_then(|c| Some((c.config()?.id, c.votes()))),
--- a/crates/fleet/src/audit/mod.rs
+++ b/crates/fleet/src/audit/mod.rs
@@ -79,6 +79,8 @@
 struct Interval {
     version: Version,
     from: Duration,
+    /// The register's position as this gateway knew it at the beginning, and last.
+    register: (u64, u64),
     /// By class: how many of each kind.
     counts: Vec<[u64; KINDS]>,
     first: Option<String>,
@@ -140,6 +142,8 @@
     pub from_ms: u64,
     /// Until when; where none, still.
     pub to_ms: Option<u64>,
+    /// The position of the register that it knew at the beginning, and last: it moves with every renewal of anybody's session.
+    pub register: (u64, u64),
     /// How many decisions of each kind, by class.
     pub decisions: Vec<(Kind, usize, u64)>,
     /// The first request.
@@ -230,18 +234,26 @@
         let idle = self.intervals.back().is_some_and(|i| i.counts.is_empty());
         if idle && self.intervals.len() > 1 {
             if let Some(last) = self.intervals.back_mut() {
-                (last.version, last.from) = (version, now);
+                (last.version, last.from, last.register.0) = (version, now, last.register.1);
             }
             return;
         }
-        let counts = Vec::new();
-        self.intervals.push_back(Interval { version, from: now, counts, first: None, last: None });
+        let known = self.intervals.back().map_or(0, |i| i.register.1);
+        let (counts, register) = (Vec::new(), (known, known));
+        self.intervals.push_back(Interval { version, from: now, register, counts, first: None, last: None });
         while self.intervals.len() > INTERVALS {
             self.intervals.pop_front();
             self.forgotten += 1;
         }
     }
 
+    /// The register has come to this position, as far as is known here.
+    pub fn register_at(&mut self, position: u64) {
+        if let Some(interval) = self.intervals.back_mut() {
+            interval.register.1 = interval.register.1.max(position);
+        }
+    }
+
     /// Books a decision under the version in force.
     pub fn book(&mut self, now: Duration, decision: Decision<'_>) {
         let request = digest(decision.request.as_bytes());
@@ -299,6 +311,7 @@
             version: interval.version.clone(),
             from_ms: ms(interval.from),
             to_ms,
+            register: interval.register,
             decisions: decisions(&interval.counts),
             first: interval.first.clone(),
             last: interval.last,
@@ -423,6 +436,7 @@
         audit.book(at(10), pick("a"));
         audit.turn_to(at(100), version(2));
         audit.book(at(110), pick("b"));
+        audit.register_at(7);
         audit.book(at(120), Decision { kind: Kind::Refuse, class: 0, request: "c", host: None });
         audit.except(at(120), Exception::WithoutSession, "c");
         let told = audit.told(at(200), 1..=1);
@@ -431,6 +445,7 @@
         assert_eq!(told.intervals[0].decisions, [(Kind::Pick, 1, 1)]);
         assert!(told.exceptions.is_empty(), "that was under another version");
         let told = audit.told(at(200), 2..=9);
+        assert_eq!(told.intervals[0].register, (0, 7));
         assert_eq!(told.intervals[0].decisions, [(Kind::Refuse, 0, 1), (Kind::Pick, 1, 1)]);
         assert_eq!(told.exceptions.len(), 1);
         let (from, steps) = audit.request("b");
--- a/crates/gateway/src/fleet/commands.rs
+++ b/crates/gateway/src/fleet/commands.rs
@@ -381,12 +381,14 @@
         let to = interval["to_ms"].as_u64().map_or("now".to_owned(), |to| to.to_string());
         let _ = writeln!(
             text,
-            "  {:>9} to {to:>9} ms  list {} of {}, configuration {:016x} ({}): {}",
+            "  {:>9} to {to:>9} ms  list {} of {}, configuration {:016x} ({}), register {} to {}: {}",
             figure(&interval["from_ms"]),
             interval["version"]["list"]["index"],
             word(&interval["version"]["list"]["lineage"]),
             interval["version"]["config"].as_u64().unwrap_or_default(),
             interval["version"]["generation"],
+            interval["register"][0],
+            interval["register"][1],
             if decisions.is_empty() { "nothing".to_owned() } else { decisions.join(", ") }
         );
     }
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -200,6 +200,7 @@
         }
         let agent = self.agent.borrow();
         self.told.set(agent.news().current.unwrap_or_default());
+        self.audit.borrow_mut().register_at(agent.position());
     }
 
     /// Sends a frame, behind what is to be on the disk first. That one is here can be said at any time.
--- a/crates/rig/src/whole/live.rs
+++ b/crates/rig/src/whole/live.rs
@@ -31,9 +31,7 @@
 
 const FLEET: &str = "whole";
 pub(super) const NODES: usize = 4;
-/// Clients ask each gateway this often.
-const ASK: Duration = Duration::from_millis(25);
-/// And wait so long.
+/// Clients wait so long for an answer.
 const PATIENCE: Duration = Duration::from_secs(4);
 /// The fleet is asked how it stands this often.
 const LOOK: Duration = Duration::from_millis(150);
@@ -76,6 +74,10 @@
     pub audited: usize,
     /// Of those, by processes that had ended.
     pub audited_ended: usize,
+    /// CPU of a process at the end since its start, in hundredths of a core: members', median and most, and the others'.
+    pub cpu_percent: [(f64, f64); 2],
+    /// Resident memory of a process at the end, in MiB: median and most.
+    pub memory_mib: (f64, f64),
     /// From the last that is known of a killed process to its end, in seconds, one a case.
     pub unknown_s: Vec<f64>,
 }
@@ -83,6 +85,7 @@
 pub(super) struct Process {
     child: Child,
     number: usize,
+    since: Instant,
 }
 
 pub(super) struct Gateway {
@@ -141,6 +144,7 @@
     LocalSet::new().block_on(&runtime, async {
         let play = Rc::new(Play::prepare(script, seed, program, folder).await?);
         play.clone().run().await?;
+        play.weigh();
         let breaches = play.judge().await;
         let figures = play.figures.borrow().clone();
         let report = Report { script: script.name.clone(), seed, breaches, figures };
@@ -237,7 +241,7 @@
         let number = gateway.started.get();
         gateway.started.set(number + 1);
         let log = child.stderr.take();
-        gateway.running.replace(Some(Process { child, number }));
+        gateway.running.replace(Some(Process { child, number, since: Instant::now() }));
         let play = self.clone();
         spawn_local(async move {
             let Some(log) = log else { return };
@@ -308,7 +312,7 @@
         }
         for (n, gateway) in self.gateways.iter().enumerate() {
             let (clock, books) = (self.clock, self.books.clone());
-            spawn_local(place::client(n, gateway.address.clone(), ASK, PATIENCE, clock, books));
+            spawn_local(place::client(n, gateway.address.clone(), self.script.asks, PATIENCE, clock, books));
         }
         let looking = spawn_local(self.clone().look());
         let start = Instant::now();
@@ -407,6 +411,35 @@
         timeout(Duration::from_secs(2), asking).await.ok().flatten()
     }
 
+    /// What the processes have cost.
+    fn weigh(&self) {
+        let mut cpu = [Vec::new(), Vec::new()];
+        let mut memory = Vec::new();
+        for (n, gateway) in self.gateways.iter().enumerate() {
+            let running = gateway.running.borrow();
+            let Some((process, id)) = running.as_ref().and_then(|p| Some((p, p.child.id()?))) else {
+                continue;
+            };
+            let read = |file: &str| std::fs::read_to_string(format!("/proc/{id}/{file}")).unwrap_or_default();
+            let stat = read("stat");
+            let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or_default().split(' ').collect();
+            let ticks = |at: usize| fields.get(at).and_then(|f| f.parse::<f64>().ok()).unwrap_or_default();
+            // Times are in hundredths of a second, the unit of the kernel's interface.
+            let percent = (ticks(11) + ticks(12)) / process.since.elapsed().as_secs_f64();
+            cpu[usize::from(n >= self.script.council)].push(percent);
+            let pages =
+                read("statm").split(' ').nth(1).and_then(|f| f.parse::<f64>().ok()).unwrap_or_default();
+            memory.push(pages * 4096.0 / f64::from(1 << 20));
+        }
+        let spread = |mut all: Vec<f64>| {
+            all.sort_by(f64::total_cmp);
+            (all.get(all.len() / 2).copied().unwrap_or_default(), all.last().copied().unwrap_or_default())
+        };
+        let mut figures = self.figures.borrow_mut();
+        figures.cpu_percent = cpu.map(spread);
+        figures.memory_mib = spread(memory);
+    }
+
     fn met(&self, n: usize, event: &Event) -> Vec<usize> {
         let mut known = self.whom.borrow_mut();
         let whom = known.entry(n).or_insert_with(|| match &event.whom {
--- a/crates/rig/src/whole/script.rs
+++ b/crates/rig/src/whole/script.rs
@@ -75,6 +75,8 @@
     pub what: What,
 }
 
+/// A client asks each gateway this often, unless a script says otherwise.
+const ASKS: Duration = Duration::from_millis(25);
 /// After this at most, with nothing else wrong, one that came back has its seat again.
 const SEATED: Duration = Duration::from_secs(4);
 
@@ -117,6 +119,8 @@
     pub most_out: f64,
     /// A new list comes this often.
     pub lists: Duration,
+    /// A client asks each gateway this often, on real processes.
+    pub asks: Duration,
     /// From then on lists say that the last node leaves; on real processes only.
     pub leaves: Option<Duration>,
     /// Council members keep their state on disks.
@@ -233,6 +237,7 @@
             behind: (root.within("behind", 1..=1000, 3), root.or("behind_for", Duration::from_secs(2))),
             most_out: root.within("shut_out_most", 0.0..=0.5, 0.2),
             lists: root.or("lists", Duration::from_millis(500)),
+            asks: root.or("asks", ASKS),
             leaves: root.get("leaves"),
             disks: root.or("disks", false),
             refuses_alone: root.or("refuses_alone", false),
@@ -314,6 +319,7 @@
             behind: (3, Duration::from_secs(2)),
             most_out: 0.2,
             lists: Duration::from_millis(500),
+            asks: ASKS,
             leaves: None,
             disks: false,
             refuses_alone: false,
