--- a/crates/fleet/src/audit/mod.rs
+++ b/crates/fleet/src/audit/mod.rs
@@ -418,11 +418,11 @@
     use crate::version::Listed;
     use proptest::prelude::*;
 
-    fn at(ms: u64) -> Duration {
+    pub(super) fn at(ms: u64) -> Duration {
         Duration::from_millis(ms)
     }
 
-    fn version(index: u64) -> Version {
+    pub(super) fn version(index: u64) -> Version {
         Version { list: Listed { lineage: "r".into(), index }, ..Version::default() }
     }
 
--- a/crates/fleet/src/audit/pages.rs
+++ b/crates/fleet/src/audit/pages.rs
@@ -529,19 +529,11 @@
 
 #[cfg(test)]
 mod tests {
+    use super::super::tests::{at, version};
     use super::super::{Audit, Decision, Exception};
     use super::*;
-    use crate::version::{Listed, Version};
     use proptest::prelude::*;
 
-    fn at(ms: u64) -> Duration {
-        Duration::from_millis(ms)
-    }
-
-    fn version(index: u64) -> Version {
-        Version { list: Listed { lineage: "r".into(), index }, ..Version::default() }
-    }
-
     fn writer(process: u64) -> Writer {
         let began_unix_ms = process * 1_000_000;
         Writer { process: Incarnation(process), began_unix_ms, opened_unix_ms: began_unix_ms + 50 }
--- a/crates/rig/src/whole/live.rs
+++ b/crates/rig/src/whole/live.rs
@@ -180,7 +180,7 @@
             let discovery = place::register(n, lists.clone(), stuck.clone(), clock, books.clone()).await?;
             let (settings, config) = (folder.join(format!("g{n}.toml")), folder.join(format!("g{n}.json")));
             std::fs::write(&settings, settings_text(script, n, &relays, folder))?;
-            let mut told = scripted::config(&discovery.to_string(), 256, &[]);
+            let mut told = scripted::config(&discovery.to_string(), 256 + script.gateways, &[]);
             told["known"] = lists.whole(1);
             told["name"] = name(n).into();
             std::fs::write(&config, told.to_string())?;
--- a/crates/rig/tests/whole.rs
+++ b/crates/rig/tests/whole.rs
@@ -1,5 +1,7 @@
 //! The fleet's decisions under faults, in virtual time.
 
+use ottervane_fleet::agent::Acting;
+use ottervane_rig::whole::history::Seen;
 use ottervane_rig::whole::script::{Event, Script, What, Whom};
 use ottervane_rig::whole::virtual_time::{play, shrunk, Mistake};
 use std::panic::catch_unwind;
@@ -209,6 +211,39 @@
     }
 }
 
+/// How long it takes until a lost gateway's session is over with the members, as a distribution:
+/// `... figures_of_noticing --ignored --nocapture`
+#[test]
+#[ignore = "a measurement"]
+fn figures_of_noticing() {
+    for (gateways, council) in [(5, 3), (45, 5)] {
+        for (what, happens) in [("killed", What::Kill), ("paused", What::Pause), ("cut off", CUT)] {
+            let mut took = Vec::new();
+            for seed in 1..=20 {
+                let lost = gateways - 1;
+                let script = calm(
+                    gateways,
+                    council,
+                    vec![event(5.0 + 0.1 * seed as f64, 10.0, &[lost], None, happens.clone())],
+                );
+                let played = play(&script, seed, Mistake::None);
+                assert!(played.breaches.is_empty(), "{:?}", played.breaches);
+                let from = script.events[0].at;
+                let lines = &played.history.lines;
+                let held =
+                    lines.iter().filter(|l| l.gateway == lost && l.at < from).filter_map(|l| match &l.seen {
+                        Seen::Stands(Acting::InSession(id)) => Some(*id),
+                        _ => None,
+                    });
+                let session = held.last().expect("a session");
+                let over = lines.iter().find(|l| l.seen == Seen::Lapsed(session)).expect("it is over");
+                took.push((over.at - from).as_secs_f64());
+            }
+            println!("{gateways} gateways, one {what}: its session is over after {} s (median, 95th, longest of 20)", spread(took));
+        }
+    }
+}
+
 /// What the audit's books take of a disk: `... figures_of_the_books --ignored --nocapture`
 #[test]
 #[ignore = "a measurement"]
