--- a/crates/rig/tests/whole.rs
+++ b/crates/rig/tests/whole.rs
@@ -230,12 +230,12 @@
                 assert!(played.breaches.is_empty(), "{:?}", played.breaches);
                 let from = script.events[0].at;
                 let lines = &played.history.lines;
-                let held =
+                let mut held =
                     lines.iter().filter(|l| l.gateway == lost && l.at < from).filter_map(|l| match &l.seen {
                         Seen::Stands(Acting::InSession(id)) => Some(*id),
                         _ => None,
                     });
-                let session = held.last().expect("a session");
+                let session = held.next_back().expect("a session");
                 let over = lines.iter().find(|l| l.seen == Seen::Lapsed(session)).expect("it is over");
                 took.push((over.at - from).as_secs_f64());
             }
