Name the file, the setting and the way out where the fleet's disk or council fails

Need: read as at 3 am, 'the audit's books can't be written' named no file and no setting, the council's library's breaking off not the member, and a gateway that answered 'the answer is too long' counted as having answered.

Change: the file, [fleet] state and what to do in both logs; the member's name where the library breaks off; an answer that is an error counts as not asked. Tests of what had none: a file of another version, and requests dropped for want of room.

--- a/crates/fleet/src/council/mod.rs
+++ b/crates/fleet/src/council/mod.rs
@@ -302,22 +302,27 @@
 
     /// Has the library do something. It trusts what members tell each other, and breaks off where that can't be: then this member votes
     /// no longer, of what it was about to say and store nothing goes, and the rest of the process lives on.
-    fn guard<T>(&mut self, act: impl FnOnce(&mut Council, &mut Doings) -> T) -> (Option<T>, Doings) {
+    fn guard<T>(
+        &mut self,
+        whose: &str,
+        act: impl FnOnce(&mut Council, &mut Doings) -> T,
+    ) -> (Option<T>, Doings) {
         let mut doings = Doings::default();
         if let Ok(done) = catch_unwind(AssertUnwindSafe(|| act(self, &mut doings))) {
             return (Some(done), doings);
         }
         self.stop_voting();
         self.journal.replace(Default::default());
-        let note = "the council's library broke off on what a member said: this process votes no longer; start it again, and see which \
-                    member runs another build"
-            .to_owned();
+        let note = format!(
+            "the council's library broke off on what {whose} said: this process votes no longer. See whether the members run one build \
+             (fleet status), end the odd one, then start this one again"
+        );
         (None, Doings { notes: vec![note], ..Doings::default() })
     }
 
     /// Proposes an entry. Whether it is on its way; it may be lost still, so whoever needs it proposes it again until it is seen.
     pub fn propose(&mut self, entry: Entry) -> bool {
-        self.guard(|council, _| council.append(entry)).0.unwrap_or_default()
+        self.guard("staff or a gateway", |council, _| council.append(entry)).0.unwrap_or_default()
     }
 
     fn append(&mut self, entry: Entry) -> bool {
@@ -334,7 +339,7 @@
 
     /// A link to another member has come up, to this process of it.
     pub fn linked(&mut self, name: &str, process: Incarnation) -> Doings {
-        self.guard(|council, out| council.link(name, process, out)).1
+        self.guard(name, |council, out| council.link(name, process, out)).1
     }
 
     fn link(&mut self, name: &str, process: Incarnation, out: &mut Doings) {
@@ -365,7 +370,7 @@
 
     /// Time goes on: to be called every [`TICK`].
     pub fn tick(&mut self) -> Doings {
-        self.guard(Council::go_on).1
+        self.guard("a member", Council::go_on).1
     }
 
     fn go_on(&mut self, out: &mut Doings) {
@@ -387,7 +392,7 @@
 
     /// A word of another member's process.
     pub fn hear(&mut self, from: &str, word: Word) -> Doings {
-        self.guard(|council, out| council.heed(from, word, out)).1
+        self.guard(from, |council, out| council.heed(from, word, out)).1
     }
 
     fn heed(&mut self, from: &str, word: Word, out: &mut Doings) {
--- a/crates/gateway/src/fleet/books.rs
+++ b/crates/gateway/src/fleet/books.rs
@@ -66,6 +66,7 @@
 pub struct Books {
     orders: threads::Sender<Order>,
     file: Shared,
+    path: PathBuf,
     mark: Cell<Mark>,
     turn: tokio::sync::Mutex<()>,
 }
@@ -117,6 +118,7 @@
         Ok(Books {
             orders,
             file,
+            path,
             mark: Cell::new(Mark::none(Duration::ZERO)),
             turn: tokio::sync::Mutex::default(),
         })
@@ -152,7 +154,12 @@
                 }
                 Err(why) => {
                     if failing.as_ref() != Some(&why) {
-                        warn!(why, "fleet: the audit's books can't be written; they are kept in memory, and it is tried again every {AGAIN:?}");
+                        warn!(
+                            why, file = %self.path.display(),
+                            "fleet: the audit's books can't be written; they are kept in memory as far as that goes, and it is tried again \
+                             every {AGAIN:?}. Make room or mend the disk of `state` of [fleet]; with two processes of this gateway it \
+                             passes once the first has ended"
+                        );
                     }
                     failing = Some(why);
                     sleep(AGAIN).await;
@@ -164,9 +171,12 @@
     /// What earlier processes did, and this one before its memory.
     pub async fn past(&self, wanted: Wanted, own: Remembered) -> Result<ToldPast, String> {
         let Some(file) = shared(&self.file) else {
-            return Err("the file is another process's, or the disk fails: see this gateway's log".to_owned());
+            return Err(format!(
+                "{} is another process's, or its disk fails: this gateway's log says which",
+                self.path.display()
+            ));
         };
-        // Of a full disk it takes seconds; the thread that writes is not kept from it.
+        // It may take a second; neither the event loop nor the thread that writes waits for it.
         let reading = move || {
             let read = catch_unwind(AssertUnwindSafe(|| read(&file, wanted, own)));
             read.unwrap_or_else(|_| Err("the library broke off reading it".to_owned()))
@@ -463,4 +473,47 @@
         assert!(error.contains("\"a\"") && error.contains("folder of its own"), "{error}");
         let _ = std::fs::remove_dir_all(&folder);
     }
+
+    #[test]
+    fn a_file_of_another_version_is_set_aside() {
+        let folder = folder("version");
+        write(&folder, 1, "x", true);
+        drop(past(&folder, "x"));
+        let path = folder.join("audit-a.redb");
+        let file = loop {
+            match Database::create(&path) {
+                Ok(file) => break file,
+                Err(_) => std::thread::sleep(Duration::from_millis(5)), // the thread has not let go of it yet
+            }
+        };
+        let newer = Owner { form: FORM + 1, fleet: "f".into(), gateway: "a".into() };
+        let writing = file.begin_write().expect("a transaction");
+        let bytes = wire::write(&newer).expect("bytes");
+        writing.open_table(OWNER).expect("a table").insert(0, &bytes[..]).expect("written");
+        writing.commit().expect("written");
+        drop(file);
+        assert!(past(&folder, "x").processes.iter().all(|p| p.steps.is_empty()));
+        assert!(folder.join("audit-a.spoilt-0").exists(), "it can be looked at");
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+
+    /// What is dropped for want of room is gone from the file, and told as unknown.
+    #[test]
+    fn requests_that_were_dropped_are_unknown() {
+        let folder = folder("dropped");
+        write(&folder, 1, "x", true);
+        let mut small = settings("a");
+        small.books.size = 1;
+        loop {
+            let books = Books::open(&folder, &small, clock(2)).expect("it can be used");
+            let audit = RefCell::new(Audit::new(Duration::ZERO, Version::default()));
+            if runs(books.write(&audit, || Duration::from_millis(5), true)).is_ok() {
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        let told = past(&folder, "x");
+        assert!(told.processes.iter().all(|p| p.steps.is_empty()), "{told:?}");
+        let _ = std::fs::remove_dir_all(&folder);
+    }
 }
--- a/crates/gateway/src/fleet/commands.rs
+++ b/crates/gateway/src/fleet/commands.rs
@@ -106,7 +106,14 @@
 
 async fn ask_all(settings: &FleetSettings, question: &Question) -> Vec<Answered> {
     let asked = settings.peers.iter().map(|peer| ask(&settings.name, peer, question));
-    futures_util::future::join_all(asked).await
+    let mut all = futures_util::future::join_all(asked).await;
+    // One that answers that it can't tell has not told.
+    for Answered { answer, .. } in &mut all {
+        if let Some(why) = answer.as_ref().ok().and_then(|told| told["error"].as_str()).map(str::to_owned) {
+            *answer = Err(why);
+        }
+    }
+    all
 }
 
 /// Puts what staff want before the council, one member after the other until one can have it decided.
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -235,7 +235,12 @@
                     ready.iter().for_each(|(to, frame)| links.send(to, frame));
                 }
                 Err(why) => {
-                    error!(why, "fleet: the council's state can't be written: this process votes no longer. Make room or mend the disk, and start it again");
+                    let state = self.settings.state.as_deref().unwrap_or(std::path::Path::new("")).display();
+                    error!(
+                        why, folder = %state,
+                        "fleet: the council's state can't be written: this process votes no longer. Make room or mend the disk of `state` of \
+                         [fleet], and start it again"
+                    );
                     self.agent.borrow_mut().store_failed();
                     self.store.replace(None);
                     self.behind.borrow_mut().clear();
