Take lists however they are laid out, and call a silent agent again within 0.2 s

Cause (read, then forced): discovery/watch.rs gave a call 4 s to open and 4 s more for its first line, also where lists are pushed and the agent is on this machine; any byte counted as a sign of life, so that a list that trickles kept a dead watch for ever; each physical line was parsed as a list, so that an indented one ended the watch; what remained was searched and moved for each line. Ruled out: news of a watch that was replaced (watches are numbered), and the wait between two (80 ms at the most).

Change: discovery/stream.rs takes lists out of the bytes, each looked at once; only whole lists and empty lines prove life; one time for all that comes before the first word, 4 s where calls wait their turn, 0.2 s where the agent answers at once (the strictest drain is 0.3 s).

--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -504,7 +504,8 @@
         debug!(version = self.version, "watch");
         self.watch += 1;
         self.rewatch.opened(self.handle.time(Instant::now()));
-        let watching = spawn_local(watch(self.discovery, self.version, self.watch, self.handle.clone()));
+        let (version, number, pushed) = (self.version, self.watch, self.pushed());
+        let watching = spawn_local(watch(self.discovery, version, number, pushed, self.handle.clone()));
         if let Some(before) = self.watching.replace(watching) {
             before.abort();
         }
--- a/crates/gateway/src/discovery/watch.rs
+++ b/crates/gateway/src/discovery/watch.rs
@@ -1,6 +1,7 @@
 //! The watch on the changes of the list of hosts.
 
 use super::list::List;
+use super::stream::{Lists, Word};
 use crate::core::messages::{Handle, Message};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
@@ -10,15 +11,17 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{timeout_at, Instant};
 
 /// A call may wait its turn for so long before its first line comes.
 const FIRST_LINE: Duration = Duration::from_secs(4);
+/// The same where lists are pushed: an agent on this machine answers at once. One that does not is silent, and may come back as an
+/// agent that knows nothing of the call. What it says then counts at once, so that the next call has to be there within the
+/// strictest time in which a drain must be heeded (300 ms), the wait before it (80 ms) included.
+const AT_ONCE: Duration = Duration::from_millis(200);
 /// An empty line comes every 2 s on a live watch; without any for so long it is dead. News count as told 6 s after
 /// they were due, and the module lets up to 4 s pass before it asks again: there is no time to lose.
 const SILENCE: Duration = Duration::from_millis(2700);
-/// A line that is longer than this is none.
-const LONGEST_LINE: usize = 4 << 20;
 
 #[derive(Debug, thiserror::Error)]
 enum WatchError {
@@ -30,10 +33,8 @@
     Status(StatusCode),
     #[error("silent for too long")]
     Silent(#[from] tokio::time::error::Elapsed),
-    #[error("a line that is no list: {0}")]
-    Malformed(#[from] serde_json::Error),
-    #[error("a line without end")]
-    TooLong,
+    #[error("{0}")]
+    Malformed(#[from] super::stream::NoList),
     #[error("ended")]
     Ended,
 }
@@ -54,15 +55,24 @@
 }
 
 /// Watches the list from version `since` on until that fails; the gateway counts its watches, and this is number
-/// `watch`.
-pub async fn watch(address: SocketAddr, since: u64, watch: u64, gateway: Handle) {
+/// `watch`. Where lists are `pushed` the first word comes at once.
+pub async fn watch(address: SocketAddr, since: u64, watch: u64, pushed: bool, gateway: Handle) {
     let mut ended = Ended { gateway, watch, why: "its task has panicked".to_owned() };
-    if let Err(error) = follow(address, since, watch, &ended.gateway).await {
+    let first = if pushed { AT_ONCE } else { FIRST_LINE };
+    if let Err(error) = follow(address, since, watch, first, &ended.gateway).await {
         ended.why = error.to_string();
     }
 }
 
-async fn follow(address: SocketAddr, since: u64, watch: u64, gateway: &Handle) -> Result<(), WatchError> {
+async fn follow(
+    address: SocketAddr,
+    since: u64,
+    watch: u64,
+    first: Duration,
+    gateway: &Handle,
+) -> Result<(), WatchError> {
+    // One time for all that comes before the first word: a call that is heard and not answered is as silent as one that is not.
+    let mut due = Instant::now() + first;
     let opening = async {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
@@ -78,34 +88,32 @@
         };
         Ok::<_, WatchError>((response, connection, sender))
     };
-    let (response, connection, _sender) = timeout(FIRST_LINE, opening).await??;
+    let (response, connection, _sender) = timeout_at(due, opening).await??;
     if response.status() != StatusCode::OK {
         return Err(WatchError::Status(response.status()));
     }
     let reading = async {
         let mut body = response.into_body();
-        let (mut text, mut first) = (Vec::new(), true);
+        let (mut lists, mut first) = (Lists::default(), true);
         loop {
-            // Keep-alive notices nothing where a machine has vanished: only the lines prove that discovery lives.
-            let wait = if first { FIRST_LINE } else { SILENCE };
-            let frame = timeout(wait, body.frame()).await?.ok_or(WatchError::Ended)??;
+            // Keep-alive notices nothing where a machine has vanished: only whole lists and empty lines prove that discovery lives. A
+            // list that does not come to its end is none, however it trickles.
+            let frame = timeout_at(due, body.frame()).await?.ok_or(WatchError::Ended)??;
             let Ok(data) = frame.into_data() else { continue };
-            text.extend_from_slice(&data);
-            while let Some(end) = text.iter().position(|&b| b == b'\n') {
-                let line: Vec<u8> = text.drain(..=end).collect();
-                if !line.trim_ascii().is_empty() {
-                    let list = serde_json::from_slice(&line)?;
-                    gateway.tell(Message::Hosts { watch, list });
-                } else if first {
+            lists.take(&data);
+            while let Some(word) = lists.word()? {
+                due = Instant::now() + SILENCE;
+                match word {
+                    Word::List(list) => gateway.tell(Message::Hosts { watch, list }),
                     // Each call is owed an answer, also where nothing has changed.
-                    let list = List { index: since, ..List::default() };
-                    gateway.tell(Message::Hosts { watch, list });
+                    Word::Empty if first => {
+                        let list = List { index: since, ..List::default() };
+                        gateway.tell(Message::Hosts { watch, list });
+                    }
+                    Word::Empty => {}
                 }
                 first = false;
             }
-            if text.len() > LONGEST_LINE {
-                return Err(WatchError::TooLong);
-            }
         }
     };
     tokio::pin!(reading);
