Leave open requests the limits they came under, and decide by a tenant's number of now

Cause (read): the module asked the settings in force for may_cancel, key_rest and the advice on coming back when an older request ended (balancer.rs step, settle, end); the listener looked a tenant's number up before the body had come, and a new file may have given that number to another tenant meanwhile; a tenant that the settings do not name counted as the first one. Only storm control reads the number.

Change: a request holds its limits as one value; the number is looked up when the request is handed to the gateway, after its body, by the terms in force there; a tenant without a place has none.

--- a/crates/gateway/src/listeners/http/request.rs
+++ b/crates/gateway/src/listeners/http/request.rs
@@ -122,6 +122,11 @@
     pub fn new(classes: &Classes, tenants: Vec<String>, settings: &Settings) -> Terms {
         Terms { classes: classes.offer(), tenants, keep_away: ROOM_AGAIN.min(settings.max_keep_away) }
     }
+
+    /// The tenant's place in the settings; beyond the last one where it has none there.
+    fn tenant(&self, name: Option<&str>) -> usize {
+        self.tenants.iter().position(|t| Some(t.as_str()) == name).unwrap_or(self.tenants.len())
+    }
 }
 
 /// A request that has been told to the gateway: if the client goes, so does this, and the gateway hears of it.
@@ -243,8 +248,6 @@
             Some(cost) => Some(Duration::from_micros(cost.trim().parse().map_err(|_| Malformed::BadCost)?)),
             None => None,
         };
-        let tenant = text(headers, "x-tenant-id");
-        let tenant = terms.tenants.iter().position(|t| Some(t.as_str()) == tenant).unwrap_or(0);
         let (held, rest) = gather(body, MAX_BODY).await?;
         if *method == Method::GET && !held.is_empty() {
             return Err(Malformed::NeedlessBody);
@@ -270,6 +273,10 @@
         };
         let give_up = self.gateway.answers_by().map_or(give_up, |by| give_up.min(by));
         let (id, open) = (self.gateway.next_request(), Rc::new(Cell::new(true)));
+        // By the numbers in force now, which the gateway goes by: those of before may be another customer's. One that is not in the
+        // settings has none, and nobody else's.
+        let tenant = text(headers, "x-tenant-id");
+        let tenant = self.terms.borrow().tenant(tenant);
         let request = ottervane::Request {
             id,
             class: kept.number,
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -110,10 +110,32 @@
     hold_by: f64, // while it comes, it is held for a host until then
     aim: f64,
     open: bool,
-    limits: (u32, usize), // the most attempts, and the most that may be out when another is made: as it came
+    limits: Limits,
     attempts: Vec<Attempt>,
 }
 
+/// What the settings that a request came under allow it, to its end.
+#[derive(Clone, Copy, Debug)]
+struct Limits {
+    attempts: u32, // the most, and the most that may be out when another is made
+    copies: usize,
+    cancel: bool,
+    key_rest: f64,
+    keep_away: Duration,
+}
+
+impl Limits {
+    fn of(set: &Settings) -> Limits {
+        Limits {
+            attempts: set.max_attempts,
+            copies: usize::from(set.second_copies),
+            cancel: set.may_cancel,
+            key_rest: set.key_rest.as_secs_f64(),
+            keep_away: set.max_keep_away,
+        }
+    }
+}
+
 impl Request {
     fn out(&self) -> usize {
         self.attempts.iter().filter(|a| a.out).count()
@@ -317,7 +339,7 @@
         let mut req = self.requests.remove(&id.0)?;
         let open = req.open;
         f(self, &mut req, actions);
-        if open && !req.open && self.set.may_cancel {
+        if open && !req.open && req.limits.cancel {
             let out = (0u32..).zip(&req.attempts).filter(|(_, a)| a.out);
             actions.extend(out.map(|(attempt, _)| Action::Cancel { request: id, attempt }));
         }
@@ -445,8 +467,8 @@
     fn may_go_on(&self, req: &Request) -> bool {
         let held = !req.spent && (!req.coming || req.out() == 0);
         let unsafe_ = matches!(self.set.classes[req.class].effect, Effect::Unsafe);
-        held && (req.attempts.len() as u32) < req.limits.0
-            && req.out() <= req.limits.1
+        held && (req.attempts.len() as u32) < req.limits.attempts
+            && req.out() <= req.limits.copies
             && !(unsafe_ && req.attempts.iter().any(|a| !a.never_ran))
     }
 
@@ -486,7 +508,7 @@
 
     /// Books the end of an attempt: what it proves of the request and what it tells of the host.
     fn settle(&mut self, now: f64, req: &mut Request, n: u32, how: Outcome, y: f64, actions: Out) {
-        let (work, class) = (req.work, req.class);
+        let (work, class, key_rest) = (req.work, req.class, req.limits.key_rest);
         let Some(a) = req.attempts.get_mut(n as usize).filter(|a| a.out) else { return };
         (a.out, a.never_ran) = (false, how.never_ran());
         let (host, sent) = (a.host, a.sent);
@@ -499,7 +521,7 @@
         // What may still be running keeps its key at rest.
         let rests = matches!(how, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
         if let Some(key) = req.key.filter(|_| rests && self.set.classes[class].sequential) {
-            self.turns.entry(key).or_default().rested = now + self.set.key_rest.as_secs_f64();
+            self.turns.entry(key).or_default().rested = now + key_rest;
         }
         h.ill.resize(self.set.classes.len(), Ill::default());
         match how {
@@ -547,7 +569,7 @@
         req.open = false;
         self.traffic.lost.count += 1.0;
         actions.push(if harmless {
-            Action::Refuse { request: id, keep_away: self.set.max_keep_away }
+            Action::Refuse { request: id, keep_away: req.limits.keep_away }
         } else {
             Action::Fail { request: id }
         });
--- a/src/balancer/admission.rs
+++ b/src/balancer/admission.rs
@@ -1,6 +1,6 @@
 //! Which requests are let in: what is out must still be served within its aim.
 
-use super::{follow, Balancer, Out, Request, COPY_SHARE};
+use super::{follow, Balancer, Limits, Out, Request, COPY_SHARE};
 use crate::api::{self, Action};
 use std::time::Duration;
 
@@ -75,7 +75,7 @@
             turns.queue.push_back(r.id.0);
         }
         let (class, key, attempts) = (r.class, r.key, Vec::new());
-        let limits = (self.set.max_attempts, usize::from(self.set.second_copies));
+        let limits = Limits::of(&self.set);
         let (coming, spent, open) = (r.coming, false, true);
         self.requests.insert(
             r.id.0,
--- a/tests/coming.rs
+++ b/tests/coming.rs
@@ -151,6 +151,48 @@
     assert!(bench.sent_to().is_none(), "one attempt by the new settings");
 }
 
+/// What a request may be called off by, how long its key rests after it and how long its client is told to keep away are those of the
+/// settings that it came under, whoever's settings are in force when it ends.
+#[test]
+fn new_settings_leave_open_requests_their_limits() {
+    let mut old = Settings { may_cancel: true, max_keep_away: MS(700), key_rest: MS(400), ..settings() };
+    old.classes[1].sequential = true;
+    let new = Settings { may_cancel: false, max_keep_away: MS(90), key_rest: MS(3000), ..old.clone() };
+    let mut bench = Bench::new(old, 4);
+    bench.serve(79, |_| 20);
+    let keyed = |bench: &mut Bench, id: u64| {
+        let give_up = bench.now + MS(9000);
+        bench.give(Event::Request(Request { key: Some(5), ..Request::new(RequestId(id), 1, give_up) }));
+    };
+    keyed(&mut bench, 100);
+    bench.sent_to().expect("a host");
+    keyed(&mut bench, 101);
+    bench.ask(102, 0, false).expect("a host");
+    bench.b.retune(new);
+    bench.give(Event::Abandoned { request: RequestId(102) });
+    let off = |a: &Action| matches!(a, Action::Cancel { request: RequestId(102), .. });
+    assert!(bench.last.iter().any(off), "{:?}", bench.last);
+    bench.give(Event::Abandoned { request: RequestId(100) });
+    bench.outcome(100, 0, MS(20), Outcome::Cancelled);
+    // It rests for 400 ms, not for 3 s.
+    let wait = bench.last.iter().find_map(|a| match a {
+        Action::Wake { after, token: 101 } => Some(*after),
+        _ => None,
+    });
+    assert!(wait.is_some_and(|wait| wait > MS(0) && wait <= MS(400)), "{:?}", bench.last);
+    let give_up = bench.now + MS(5);
+    let hosts: Vec<Host> = (0..4).map(|n| Host { state: HostState::Draining, ..host(n, None) }).collect();
+    bench.give(Event::Hosts { full: false, hosts: &hosts });
+    bench.give(Event::Request(Request::new(RequestId(103), 0, give_up)));
+    bench.now += MS(2000);
+    bench.give(Event::Timer { token: 101 });
+    let away = bench.last.iter().find_map(|a| match a {
+        Action::Refuse { request: RequestId(101), keep_away } => Some(*keep_away),
+        _ => None,
+    });
+    assert_eq!(away, Some(MS(700)), "{:?}", bench.last);
+}
+
 proptest! {
     /// Whatever comes in whatever order, a request gets at most one answer, nothing goes out for it after that, and never a second
     /// attempt once some of its body has left.
