See a client leave behind unread bytes, and lose no request to a stop or a close

Cause (read in the HTTP library and here, then forced): mid_message_detect_eof looks for a client's end only while its own buffer is empty, and not at all while a body that nobody asks for is being read, so that a client with anything behind its request was served and its later requests were begun after it had gone; Server::accept_rest stopped at the first lack of a place or failed accept; may_rest closed new connections that had brought nothing at 0.45 s after SIGTERM, and a request counts until 0.7 s; a close of what rests was decided without a last look; daemon::serve polled accept and until_closed in any order, so that a successor told to end before it was ready took clients; what came under a longer deadline outlived a stop that is reckoned by a shorter one; a close with bytes unread is a reset that cuts off who writes. Ruled out: attempts (open is looked at once more at the write), turns of keys and places (they come back in all the tests).

Change: Line::left waits for the end of a connection whatever is unread, and ends its task; queue emptied as places come free, until answers are due; 0.75 s for a first request; one more look before a close; biased; Message::Stopping holds what is open to the stop's end; what the other side still writes is let go for 1 s before the close, where it is known to write.

--- a/crates/control/src/drain.rs
+++ b/crates/control/src/drain.rs
@@ -23,6 +23,9 @@
 pub const LISTEN_ON: (Duration, Duration) = (Duration::from_millis(450), Duration::from_millis(650));
 /// See [`LISTEN_ON`].
 pub const QUIET: Duration = Duration::from_millis(200);
+/// A request that comes later than this after SIGTERM need not be answered, with the protocol's slack; until then a new connection
+/// may still bring its first one.
+pub const FIRST: Duration = Duration::from_millis(750);
 /// The process is killed so long after the longest deadline; [`AHEAD`] of that every answer has left.
 pub const KILLED: Duration = Duration::from_millis(700);
 /// See [`KILLED`].
@@ -123,6 +126,11 @@
         }
     }
 
+    /// Whether a connection that has brought nothing yet keeps its time to do so, however little others may rest.
+    pub fn awaits_first(&self, now: Duration) -> bool {
+        self.stopping.is_some_and(|since| now < since + FIRST)
+    }
+
     /// The latest moment for any answer, where there is one: what the kill finds unanswered is lost.
     pub fn answers_by(&self) -> Option<Duration> {
         self.stopping.map(|since| (since + self.terms.longest + KILLED).saturating_sub(AHEAD))
--- a/crates/control/tests/drain.rs
+++ b/crates/control/tests/drain.rs
@@ -186,3 +186,17 @@
         }
     }
 }
+
+/// A client that has a new connection does not know that it may have to send its first request again.
+#[test]
+fn a_new_connection_keeps_its_time_after_the_signal_and_only_then() {
+    let at = Duration::from_millis;
+    let mut drain = Drain::new(Terms { longest: at(1200), shared: false });
+    assert!(!drain.awaits_first(at(100)));
+    drain.call(at(200), true);
+    assert!(!drain.awaits_first(at(300)), "a drain leaves it to the rest that it allows");
+    drain.stop(at(1000));
+    assert_eq!(drain.may_rest(at(1650), at(0)), Some(Duration::ZERO), "others may not rest");
+    assert!(drain.awaits_first(at(1650)) && drain.awaits_first(at(1740)));
+    assert!(!drain.awaits_first(at(1750)), "0.7 s and the protocol's slack");
+}
--- a/crates/gateway/src/core/messages.rs
+++ b/crates/gateway/src/core/messages.rs
@@ -149,6 +149,8 @@
     },
     /// Newer lists than the one held say that hosts leave or are gone.
     Told(Vec<Gone>),
+    /// The process is on its way out: what is open has no more time than that.
+    Stopping,
     /// A watch on the hosts has failed or ended.
     DiscoveryFailed {
         /// Which.
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -14,6 +14,7 @@
 use hyper::StatusCode;
 use messages::{Arrival, Final, Handle, Message, Retune};
 use ottervane::{Action, Balancer, Event, HostId, HostState, LoadReport, Outcome, RequestId, Settings};
+use ottervane_control::bodies::Passage;
 use ottervane_control::classes::Kept;
 use ottervane_control::rewatch::{self, Rewatch};
 use ottervane_control::storm::{Answered, Arriving, Storm, StormSettings, Terms};
@@ -455,11 +456,28 @@
             // Who asked may have been told to stop.
             Message::Remember(answer) => drop(answer.send(self.balancer.memory())),
             Message::Retune(retune) => self.retune(*retune),
+            Message::Stopping => self.hasten(),
             Message::Behind { current } => self.catch_up(current),
             Message::Told(gone) => self.turn_from(&gone),
         }
     }
 
+    /// Holds what is open to the latest moment for any answer. The longest deadline of the file in force sets that, and what came
+    /// under an older file may have a longer one.
+    fn hasten(&mut self) {
+        let Some(by) = self.handle.answers_by() else { return };
+        for (id, entry) in self.requests.iter_mut().filter(|(_, entry)| entry.give_up > by) {
+            // A body that still comes is not taken yet, and gets its time with its last byte.
+            if matches!(&entry.forward.body, Payload::Coming(upload) if upload.passage() != Passage::Complete)
+            {
+                continue;
+            }
+            entry.give_up = by;
+            entry.attempts.iter().for_each(|(.., until)| until.hasten(by));
+            self.timers.push(Reverse((by, Timer::Backstop(*id))));
+        }
+    }
+
     fn book_load(&mut self, host: Option<Rc<Host>>, load: Option<LoadReport>) {
         let known = |h: &Rc<Host>| self.hosts.get(h.id.0 as usize).is_some_and(|known| Rc::ptr_eq(known, h));
         if let Some((host, report)) = host.filter(known).zip(load) {
--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -272,13 +272,15 @@
     service.stop();
     let stopping = async {
         tokio::select! {
-            () = server.clone().accept(&listener) => {}
+            biased; // one that may take nobody any more takes nobody
             () = until_closed(&service) => {}
+            () = server.clone().accept(&listener) => {}
         }
         if shared {
             drop(listener); // what waits in it is the other process's to take
         } else {
-            server.accept_rest(listener)?;
+            let by = handle.answers_by().unwrap_or_else(Instant::now);
+            server.accept_rest(listener, by).await?;
         }
         server.finish().await;
         if let Some(fleet) = &fleet {
--- a/crates/gateway/src/daemon/service.rs
+++ b/crates/gateway/src/daemon/service.rs
@@ -1,7 +1,7 @@
 //! How this process stands in service: the drain machine with the clock it wants, what has been accepted, and the figures. The
 //! listeners read it and report to it.
 
-use crate::core::messages::Handle;
+use crate::core::messages::{Handle, Message};
 use crate::figures::Figures;
 use crate::fleet::Fleet;
 use ottervane_control::drain::{Drain, Terms};
@@ -84,6 +84,7 @@
         self.stopped.notify_one();
         if let Some(by) = self.drain.borrow().answers_by() {
             self.gateway.set_answers_by(self.start + by);
+            self.gateway.tell(Message::Stopping);
         }
         self.changed.notify_one();
     }
@@ -117,4 +118,9 @@
     pub fn may_rest(&self) -> Option<Duration> {
         self.drain.borrow().may_rest(self.now(), self.accepted.get())
     }
+
+    /// Whether new connections keep their time to bring a first request.
+    pub fn awaits_first(&self) -> bool {
+        self.drain.borrow().awaits_first(self.now())
+    }
 }
--- a/crates/gateway/src/listeners/http/mod.rs
+++ b/crates/gateway/src/listeners/http/mod.rs
@@ -10,7 +10,7 @@
 use crate::framing::Framing;
 use crate::limits::MAX_BUFFER;
 use crate::sockets::{Budget, Slot, Slots};
-use crate::wire::{Marks, Wire};
+use crate::wire::{Line, Marks, Wire};
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -29,7 +29,7 @@
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{timeout, Instant};
-use tracing::error;
+use tracing::{error, warn};
 
 /// A client that keeps a connection idle for so long loses it.
 const IDLE: Duration = Duration::from_secs(75);
@@ -144,14 +144,29 @@
         }
     }
 
-    /// Accepts what still waits in the kernel, and closes the listener: what is left in it then was not taken.
-    pub fn accept_rest(self: &Rc<Self>, listener: TcpListener) -> std::io::Result<()> {
+    /// Accepts what still waits in the kernel until `by`, and closes the listener: what is left in it then was not taken. Where
+    /// every place is in use one is waited for, as [`Self::accept`] does, and a connection that ended while it waited costs itself.
+    pub async fn accept_rest(self: &Rc<Self>, listener: TcpListener, by: Instant) -> std::io::Result<()> {
         let listener = listener.into_std()?;
-        while let Some(slot) = self.clients.take().or_else(|| self.overflow.take()) {
-            let Ok((stream, _)) = listener.accept() else { break };
-            stream.set_nonblocking(true)?;
-            self.welcome(TcpStream::from_std(stream)?, slot);
+        while Instant::now() < by {
+            let Some(slot) = self.clients.take().or_else(|| self.overflow.take()) else {
+                self.close_idle();
+                let _ = timeout(CLOSE_AGAIN, self.left.notified()).await;
+                continue;
+            };
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(true)?;
+                    self.welcome(TcpStream::from_std(stream)?, slot);
+                }
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) => {
+                    warn!(%error, "stopping: a connection that waits can't be accepted; trying again every 5 ms");
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+            }
         }
+        warn!("stopping: no place became free for the connections that still waited; they are closed");
         Ok(())
     }
 
@@ -161,13 +176,14 @@
         let _ = stream.set_nodelay(true);
         let (wire, marks) = Wire::new(stream);
         let (wire, framing) = wire.followed(Framing::default());
+        let line = wire.line();
         let now = Some(Instant::now());
         marks.read_since.set(now); // the first head is awaited from now on
         let (slot, idle_since) = (RefCell::new(slot), Cell::new(now));
         let (asked, resting, closing, close, cut) = Default::default();
         let peer = Rc::new(Peer { slot, idle_since, asked, resting, closing, close, cut, marks, framing });
         self.peers.borrow_mut().push(peer.clone());
-        spawn_local(self.clone().serve(wire, peer));
+        spawn_local(self.clone().serve(wire, line, peer));
     }
 
     /// Has the connection closed that has been idle for longest. A close may cross a request that is on its way, so
@@ -217,7 +233,7 @@
         true
     }
 
-    async fn serve(self: Rc<Self>, wire: Wire, peer: Rc<Peer>) {
+    async fn serve(self: Rc<Self>, wire: Wire, line: Line, peer: Rc<Peer>) {
         let _leaving = Leaving { server: self.clone(), peer: peer.clone() };
         let service = service_fn(|request| {
             let (server, peer) = (self.clone(), peer.clone());
@@ -251,19 +267,40 @@
         });
         let connection =
             http1::Builder::new().max_buf_size(MAX_BUFFER).serve_connection(TokioIo::new(wire), service);
-        tokio::pin!(connection);
-        tokio::select! {
-            biased;
-            _ = connection.as_mut() => return,
-            () = peer.close.notified() => {}
-            () = peer.cut.notified() => if peer.idle_since.get().is_some() {
-                return; // nothing is owed, and nothing that makes a request has come
+        // The library does not look for the end of a connection while it has bytes of a next request, or a body that nobody asks
+        // for: a client that has gone would be served all the same, and what it wrote behind begun.
+        let left = line.left();
+        tokio::pin!(connection, left);
+        loop {
+            tokio::select! {
+                biased;
+                _ = connection.as_mut() => return,
+                () = left.as_mut() => return,
+                () = peer.close.notified() => {}
+                () = peer.cut.notified() => {
+                    if peer.idle_since.get().is_some() {
+                        return; // nothing is owed, and nothing that makes a request has come
+                    }
+                    break;
+                }
+            }
+            // The close was decided from what had been read by then; what has come since is taken still.
+            if peer.idle_since.get().is_none() || !line.has_unread() {
+                break;
             }
+            peer.closing.set(false);
         }
         // What is being answered is still answered; hyper closes after that, or now where nothing is.
         connection.as_mut().graceful_shutdown();
         // A client that neither ends its request nor takes its answer must not keep the connection for ever.
-        while timeout(LINGER, connection.as_mut()).await.is_err() && peer.idle_since.get().is_none() {}
+        let ending = async {
+            while timeout(LINGER, connection.as_mut()).await.is_err() && peer.idle_since.get().is_none() {}
+        };
+        tokio::select! {
+            biased;
+            () = ending => {}
+            () = left => {}
+        }
     }
 
     /// Ends, for as long as it runs, the connections that have had their time: heads that do not come, and what is
@@ -295,9 +332,14 @@
     /// Closes what rests for longer than a gateway that leaves service lets it.
     fn send_away(&self) {
         let Some(rest) = self.service.may_rest() else { return };
+        let awaits_first = self.service.awaits_first();
         let peers = self.peers.borrow();
         for peer in peers.iter().filter(|p| !p.closing.get()) {
-            // A connection that has brought nothing yet awaits its first head from the start.
+            // A connection that has brought nothing yet awaits its first head from the start. Its client does not know that
+            // it may have to send that again.
+            if awaits_first && peer.marks.last_read.get().is_none() {
+                continue;
+            }
             let resting = peer.marks.read_since.get().is_none() || peer.marks.last_read.get().is_none();
             if resting && peer.idle_since.get().is_some_and(|since| since.elapsed() >= rest) {
                 peer.closing.set(true);
@@ -360,3 +402,127 @@
         self.server.left.notify_one();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::core::messages::Message;
+    use ottervane::Settings;
+    use ottervane_control::classes::Classes;
+    use ottervane_control::drain;
+    use std::io::{Read, Write};
+    use std::net::{TcpListener, TcpStream as Plain};
+    use tokio::sync::mpsc::UnboundedReceiver;
+    use tokio::task::LocalSet;
+
+    /// Terms with one class, and these tenants.
+    fn terms(tenants: &[&str]) -> Terms {
+        let mut classes = Classes::default();
+        let class =
+            ottervane::Class { effect: ottervane::Effect::Unsafe, ..ottervane::Class::new(LONGEST, LONGEST) };
+        classes.take(Duration::ZERO, [("once".to_owned(), class)]);
+        Terms::new(&classes, tenants.iter().map(|t| (*t).to_owned()).collect(), &Settings::default())
+    }
+
+    const LONGEST: Duration = Duration::from_secs(30);
+
+    fn server() -> (Rc<Server>, UnboundedReceiver<Message>) {
+        let (gateway, messages) = Handle::new();
+        let terms = terms(&["north", "south"]);
+        let leaving = drain::Terms { longest: Duration::from_secs(1), shared: false };
+        let service = Rc::new(Service::new(leaving, gateway.clone(), Rc::default(), None));
+        (Rc::new(Server::new(gateway, terms, &Budget::new(&Default::default(), false), service)), messages)
+    }
+
+    /// A client's end of a connection that the server keeps, and what the server knows of it.
+    fn connected(server: &Rc<Server>) -> (Plain, Rc<Peer>) {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let client = Plain::connect(listener.local_addr().expect("an address")).expect("a connection");
+        let (stream, _) = listener.accept().expect("a connection");
+        for stream in [&stream, &client] {
+            stream.set_nonblocking(true).expect("no waiting");
+        }
+        let stream = TcpStream::from_std(stream).expect("a stream");
+        server.welcome(stream, server.clients.take().expect("a place"));
+        let peer = server.peers.borrow()[0].clone();
+        (client, peer)
+    }
+
+    const ASKED: &[u8] = b"GET /health/ready HTTP/1.1\r\nHost: front\r\n\r\n";
+
+    /// What comes until so many answers have, or the end.
+    async fn answers(client: &mut Plain, most: usize) -> usize {
+        let (mut text, mut space) = (Vec::new(), [0; 4096]);
+        loop {
+            match client.read(&mut space) {
+                Ok(0) => break,
+                Ok(n) => text.extend_from_slice(&space[..n]),
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                }
+                Err(_) => break,
+            }
+            if String::from_utf8_lossy(&text).matches("HTTP/1.1 ").count() >= most {
+                break;
+            }
+        }
+        String::from_utf8_lossy(&text).matches("HTTP/1.1 ").count()
+    }
+
+    /// The request is written after the runtime's last look at the sockets and before the close that was decided by then: nothing
+    /// runs in between.
+    #[tokio::test]
+    async fn a_request_that_came_since_the_last_look_is_answered_before_a_close() {
+        let local = LocalSet::new();
+        local
+            .run_until(async {
+                let (server, _messages) = server();
+                let (mut client, peer) = connected(&server);
+                client.write_all(ASKED).expect("written");
+                assert_eq!(answers(&mut client, 1).await, 1);
+                for _ in 0..20 {
+                    client.write_all(ASKED).expect("written");
+                    peer.closing.set(true);
+                    peer.close.notify_one();
+                    assert_eq!(answers(&mut client, 1).await, 1, "it lay unread when the close was decided");
+                }
+                // With nothing unread it is closed.
+                peer.closing.set(true);
+                peer.close.notify_one();
+                assert_eq!(answers(&mut client, 1).await, 0);
+            })
+            .await;
+    }
+
+    /// A new file gives the tenants other numbers while the body of a request comes: it is decided by those, under its own name.
+    #[tokio::test]
+    async fn a_request_keeps_its_tenant_while_numbers_change() {
+        let local = LocalSet::new();
+        local
+            .run_until(async {
+                let (server, mut messages) = server();
+                for (name, place) in [("south", 2), ("north", 0), ("nobody", 3)] {
+                    server.turn_to(terms(&["north", "south"]));
+                    let (mut client, peer) = connected(&server);
+                    let head = format!(
+                        "POST /once HTTP/1.1\r\nHost: a\r\nX-Request-ID: {name}\r\nX-Priority-Class: once\r\nX-Tenant-Id: {name}\r\n\
+                         X-Timeout: 9000m\r\nContent-Length: 2\r\n\r\nb"
+                    );
+                    client.write_all(head.as_bytes()).expect("written");
+                    while peer.asked.get() == 0 {
+                        tokio::time::sleep(Duration::from_millis(1)).await;
+                    }
+                    server.turn_to(terms(&["north", "east", "south"]));
+                    client.write_all(b"y").expect("written");
+                    let Some(Message::Arrived(arrival)) = messages.recv().await else { panic!("no request") };
+                    assert_eq!(arrival.request.tenant, place, "{name}");
+                    drop(client);
+                    assert!(matches!(messages.recv().await, Some(Message::Gone(_))));
+                    while !server.peers.borrow().is_empty() {
+                        server.left.notified().await;
+                    }
+                }
+            })
+            .await;
+    }
+}
--- a/crates/gateway/src/upstream/attempt.rs
+++ b/crates/gateway/src/upstream/attempt.rs
@@ -81,6 +81,11 @@
         self.moved.notify_one();
     }
 
+    /// Moves it to this moment, where that comes first.
+    pub fn hasten(&self, at: Instant) {
+        self.set(self.get().min(at));
+    }
+
     fn get(&self) -> Instant {
         self.at.get()
     }
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -3,14 +3,23 @@
 use crate::framing::Framing;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::Instant;
+use tokio::time::{sleep, Instant, Sleep};
+
+/// What the other side still writes when this one has said its last is read, and let go, for so long: a close with bytes unread is a
+/// reset, and that may take the last answer with it before it is read.
+const LINGER: Duration = Duration::from_secs(1);
+/// It is read in pieces of this size.
+const LET_GO: usize = 4 << 10;
 
 /// What has passed since the marks were last cleared.
 #[derive(Debug, Default)]
@@ -27,19 +36,57 @@
     pub idle: Cell<bool>,
 }
 
+/// What is to be seen of a connection by others than who reads it.
+#[derive(Clone, Debug)]
+pub struct Line(Rc<TcpStream>);
+
+impl Line {
+    /// Waits until the other side has ended its sending, or the connection is broken, also where bytes before that have not been
+    /// read: who reads it may have no use for them yet. Cancel safe.
+    pub async fn left(&self) {
+        // A stream is never ready in this way but for its end.
+        while let Ok(ready) = self.0.ready(Interest::PRIORITY).await {
+            if ready.is_read_closed() {
+                return;
+            }
+            forget(&self.0, Interest::PRIORITY);
+        }
+    }
+
+    /// Whether bytes wait to be read, as far as the kernel knows now.
+    pub fn has_unread(&self) -> bool {
+        matches!(peek(&self.0), Ok(n) if n > 0)
+    }
+}
+
+fn peek(stream: &TcpStream) -> io::Result<usize> {
+    SockRef::from(stream).peek(&mut [MaybeUninit::uninit()])
+}
+
+/// Has the runtime forget that the stream was ready: its next change tells.
+fn forget(stream: &TcpStream, how: Interest) {
+    let _ = stream.try_io(how, || Err::<(), _>(io::ErrorKind::WouldBlock.into()));
+}
+
 /// A stream with its marks.
 #[derive(Debug)]
 pub struct Wire {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     marks: Rc<Marks>,
     framing: Option<Rc<RefCell<Framing>>>,
+    lingering: Option<Pin<Box<Sleep>>>,
 }
 
 impl Wire {
     /// The stream, and the marks that it leaves.
     pub fn new(stream: TcpStream) -> (Wire, Rc<Marks>) {
         let marks = Rc::<Marks>::default();
-        (Wire { stream, marks: marks.clone(), framing: None }, marks)
+        (Wire { stream: Rc::new(stream), marks: marks.clone(), framing: None, lingering: None }, marks)
+    }
+
+    /// What others may see of it.
+    pub fn line(&self) -> Line {
+        Line(self.stream.clone())
     }
 
     /// The same, and has the messages on it followed.
@@ -51,13 +98,45 @@
     /// Whether the kernel holds anything to read, be it the end. The runtime knows only what was there when it last
     /// looked, and on a connection that is about to be used again that may be too long ago.
     fn has_news(&self) -> bool {
-        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+        let peeked = peek(&self.stream);
         if matches!(peeked, Ok(n) if n > 0) {
             self.marks.last_read.set(Some(Instant::now()));
         }
         !matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    fn poll_fill(&self, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            let room = buffer.remaining();
+            match self.stream.try_read_buf(buffer) {
+                // Less than there was room for is all that there was.
+                Ok(n) => {
+                    if n > 0 && n < room {
+                        forget(&self.stream, Interest::READABLE);
+                    }
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+
+    fn poll_put(
+        &self,
+        cx: &mut Context<'_>,
+        put: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match put(&self.stream) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                put => return self.note(Poll::Ready(put)),
+            }
+        }
+    }
+
     fn note(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if matches!(written, Poll::Ready(Ok(n)) if n > 0) {
             self.marks.written.set(true);
@@ -68,12 +147,12 @@
 
 impl AsyncRead for Wire {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let (before, mut spare) = (buffer.filled().len(), 4);
-        let mut read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        let mut read = self.poll_fill(cx, buffer);
         while let Some(framing) = self.framing.as_ref().filter(|_| buffer.filled().len() > before) {
             let kept = framing.borrow_mut().take(&mut buffer.filled_mut()[before..]);
             buffer.set_filled(before + kept);
@@ -85,7 +164,7 @@
                 return Poll::Pending;
             }
             spare -= 1;
-            read = Pin::new(&mut self.stream).poll_read(cx, buffer); // nothing would be the end
+            read = self.poll_fill(cx, buffer); // nothing would be the end
         }
         if read.is_pending() && self.marks.idle.get() && self.has_news() {
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
@@ -100,33 +179,49 @@
 }
 
 impl AsyncWrite for Wire {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(cx, data);
-        self.note(written)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_put(cx, |stream| stream.try_write(data))
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
-        if matches!(flushed, Poll::Ready(Ok(()))) && self.marks.written.get() {
+    /// What is written goes to the kernel at once.
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.marks.written.get() {
             self.marks.flushed.set(true);
         }
-        flushed
+        Poll::Ready(Ok(()))
     }
 
+    /// Ends the sending. Where the other side is known to have more to say, that is let go for a while before the close.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        if self.lingering.is_none() {
+            SockRef::from(&*self.stream).shutdown(Shutdown::Write)?;
+            if !self.line().has_unread() {
+                return Poll::Ready(Ok(()));
+            }
+        }
+        let mut space = [0; LET_GO];
+        let stream = self.stream.clone();
+        let over = self.lingering.get_or_insert_with(|| Box::pin(sleep(LINGER)));
+        while over.as_mut().poll(cx).is_pending() {
+            ready!(stream.poll_read_ready(cx))?;
+            match stream.try_read(&mut space) {
+                Ok(0) => break,
+                Err(error) if error.kind() != io::ErrorKind::WouldBlock => break,
+                _ => {}
+            }
+        }
+        Poll::Ready(Ok(()))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         data: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, data);
-        self.note(written)
+        self.poll_put(cx, |stream| stream.try_write_vectored(data))
     }
 }
--- /dev/null
+++ b/crates/gateway/tests/crossings/watching.rs
@@ -0,0 +1,158 @@
+//! Watches that fall silent, trickle, or come in pieces.
+
+use super::*;
+
+/// An agent that hears calls, does with each what it is told, and counts them.
+struct Agent {
+    address: String,
+    calls: Arc<AtomicUsize>,
+}
+
+impl Agent {
+    fn start(treat: impl Fn(usize, TcpStream) + Send + Sync + 'static) -> Agent {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address").to_string();
+        let (calls, treat) = (Arc::<AtomicUsize>::default(), Arc::new(treat));
+        let counted = calls.clone();
+        spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let (counted, treat) = (counted.clone(), treat.clone());
+                spawn(move || {
+                    let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+                    if ottervane_rig::scripted::Http::read(&mut reader).is_none() {
+                        return;
+                    }
+                    let call = counted.fetch_add(1, Ordering::SeqCst);
+                    let _ = stream.flush();
+                    treat(call, stream);
+                });
+            }
+        });
+        Agent { address, calls }
+    }
+
+    fn calls(&self) -> usize {
+        self.calls.load(Ordering::SeqCst)
+    }
+}
+
+/// Holds the connection until the other side ends it.
+fn hold(mut stream: TcpStream) {
+    let _ = stream.read_to_end(&mut Vec::new());
+}
+
+const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn chunk(stream: &mut TcpStream, text: &[u8]) -> std::io::Result<()> {
+    stream.write_all(format!("{:x}\r\n", text.len()).as_bytes())?;
+    stream.write_all(&[text, b"\r\n"].concat())
+}
+
+fn pushed(name: &str, agent: &Agent, known: &[Value]) -> Gateway {
+    let nobody = ScriptedRegister::start();
+    let mut text = managed(&nobody, known);
+    text["settings"]["discovery"] = "push".into();
+    text["discovery"] = agent.address.clone().into();
+    let gateway = Gateway::start_with(&PROGRAM, name, &nobody, &text);
+    // The variable names another at the start; the file's word holds from here on.
+    gateway.signal("HUP");
+    gateway
+}
+
+/// An agent that says nothing is called again and again: nobody knows whether it will remember a call once it speaks.
+#[test]
+fn an_agent_that_is_silent_is_called_again_at_once() {
+    for (n, speaks_a_head) in [(0, false), (1, true)] {
+        let agent = Agent::start(move |_, mut stream| {
+            if speaks_a_head {
+                let _ = stream.write_all(HEAD);
+            }
+            hold(stream);
+        });
+        let _gateway = pushed(&format!("silent-agent-{n}"), &agent, &[]);
+        wait_for("a call", || agent.calls() > 0);
+        let begun = Instant::now();
+        wait_for("ten more calls", || agent.calls() > 10);
+        // Less than 0.3 s each on a machine that has time; 4 s each were 40.
+        assert!(begun.elapsed() < Duration::from_secs(20), "{:?} for ten calls", begun.elapsed());
+    }
+}
+
+/// The drain is told on the first call that is answered; all calls before it are heard and never answered.
+#[test]
+fn a_drain_is_heeded_by_the_first_call_that_is_answered() {
+    let [draining, other] = [(); 2].map(|()| ScriptedNode::start(|_| Reply::ok("ok")));
+    let back = Arc::new(AtomicBool::new(false));
+    let leaving = json!({"index": 50, "snapshot": true, "endpoints": [
+        ottervane_rig::scripted::entry("s-1", &draining.address.to_string(), 1, "leaving"), other.entry("s-2", 1)]});
+    let told = back.clone();
+    let agent = Agent::start(move |_, mut stream| {
+        if told.load(Ordering::SeqCst) {
+            let _ = stream.write_all(HEAD);
+            let _ = chunk(&mut stream, format!("{leaving}\n").as_bytes());
+        }
+        hold(stream);
+    });
+    let gateway = pushed("silent-drain", &agent, &[draining.entry("s-1", 1)]);
+    wait_for("some calls", || agent.calls() > 3);
+    assert_eq!(gateway.ask("look").status(), 200, "the list held stays in force");
+    back.store(true, Ordering::SeqCst);
+    wait_for("the list to be known", || gateway.ask("look").status() == 200 && other.count() > 0);
+    let before = draining.count();
+    for _ in 0..10 {
+        assert_eq!(gateway.ask("look").status(), 200);
+    }
+    assert_eq!(draining.count(), before);
+}
+
+/// Bytes in the middle of a list are no sign of life, in either way of discovery.
+#[test]
+fn a_list_that_trickles_and_never_ends_is_left() {
+    for mode in ["push", "ask"] {
+        let agent = Agent::start(move |call, mut stream| {
+            if call > 0 {
+                return hold(stream);
+            }
+            let _ = stream.write_all(HEAD);
+            let _ = chunk(&mut stream, b"\n{\"index\": 50, \"endpoints\": [{\"name\": \"");
+            while chunk(&mut stream, b"x").is_ok() {
+                sleep(Duration::from_millis(100)); // the pace of the trickle, far under any silence
+            }
+        });
+        let nobody = ScriptedRegister::start();
+        let mut text = managed(&nobody, &[]);
+        text["settings"]["discovery"] = mode.into();
+        text["discovery"] = agent.address.clone().into();
+        let gateway = Gateway::start_with(&PROGRAM, &format!("trickle-{mode}"), &nobody, &text);
+        gateway.signal("HUP");
+        wait_for("a call in place of the one that trickles", || agent.calls() > 1);
+    }
+}
+
+/// Lists may come indented, in pieces, and several in one piece.
+#[test]
+fn lists_are_taken_however_they_are_laid_out() {
+    let hosts: Vec<_> = (0..3).map(|_| ScriptedNode::start(|_| Reply::ok("ok"))).collect();
+    let list = |n: usize| whole(50 + n as u64, &[hosts[n].entry(&format!("s-{n}"), 1)]);
+    let indented = format!("{:#}\n", list(0));
+    let together = format!("{}\n\n{:#}", list(1), list(2));
+    let step = Arc::new(AtomicUsize::new(0));
+    let go = step.clone();
+    let agent = Agent::start(move |_, mut stream| {
+        let _ = stream.write_all(HEAD);
+        for byte in indented.as_bytes() {
+            let _ = chunk(&mut stream, &[*byte]);
+        }
+        while go.load(Ordering::SeqCst) == 0 {
+            sleep(Duration::from_millis(5));
+        }
+        let _ = chunk(&mut stream, together.as_bytes());
+        hold(stream);
+    });
+    let gateway = pushed("layout", &agent, &[]);
+    wait_for("the indented list", || gateway.ask("look").status() == 200);
+    step.store(1, Ordering::SeqCst);
+    wait_for("the last list", || gateway.ask("look").status() == 200 && hosts[2].count() > 0);
+    assert!(hosts[0].count() > 0);
+    assert_eq!(agent.calls(), 1, "one watch for all of them");
+}
