--- a/crates/gateway/tests/crossings/main.rs
+++ b/crates/gateway/tests/crossings/main.rs
@@ -46,3 +46,49 @@
 fn held(gateway: &Gateway, requests: u64) {
     wait_for("the requests that are held", || gateway.figure("router_current") == Some(requests));
 }
+
+/// A peer that hears one request on each connection, does with it what it is told, and counts them.
+struct Agent {
+    address: String,
+    calls: Arc<AtomicUsize>,
+}
+
+impl Agent {
+    fn start(treat: impl Fn(usize, TcpStream) + Send + Sync + 'static) -> Agent {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address").to_string();
+        let (calls, treat) = (Arc::<AtomicUsize>::default(), Arc::new(treat));
+        let counted = calls.clone();
+        spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let (counted, treat) = (counted.clone(), treat.clone());
+                spawn(move || {
+                    let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+                    if ottervane_rig::scripted::Http::read(&mut reader).is_none() {
+                        return;
+                    }
+                    let call = counted.fetch_add(1, Ordering::SeqCst);
+                    let _ = stream.flush();
+                    treat(call, stream);
+                });
+            }
+        });
+        Agent { address, calls }
+    }
+
+    fn calls(&self) -> usize {
+        self.calls.load(Ordering::SeqCst)
+    }
+}
+
+/// Holds the connection until the other side ends it.
+fn hold(mut stream: TcpStream) {
+    let _ = stream.read_to_end(&mut Vec::new());
+}
+
+const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn chunk(stream: &mut TcpStream, text: &[u8]) -> std::io::Result<()> {
+    stream.write_all(format!("{:x}\r\n", text.len()).as_bytes())?;
+    stream.write_all(&[text, b"\r\n"].concat())
+}
