Spare a connection with unread bytes one close only, so that a deaf client keeps no stop

A client that writes on and takes no answer always has some, and would have kept a process that ends until SIGKILL.

--- a/crates/gateway/src/listeners/http/mod.rs
+++ b/crates/gateway/src/listeners/http/mod.rs
@@ -270,6 +270,7 @@
         // The library does not look for the end of a connection while it has bytes of a next request, or a body that nobody asks
         // for: a client that has gone would be served all the same, and what it wrote behind begun.
         let left = line.left();
+        let mut spared = None;
         tokio::pin!(connection, left);
         loop {
             tokio::select! {
@@ -284,8 +285,13 @@
                     break;
                 }
             }
-            // The close was decided from what had been read by then; what has come since is taken still.
-            if peer.idle_since.get().is_none() || !line.has_unread() {
+            // The close was decided from what had been read by then; what has come since is taken still. Not for ever: who takes no
+            // answer has nothing read of it either.
+            let asked = Some(peer.asked.get());
+            if peer.idle_since.get().is_none()
+                || !line.has_unread()
+                || std::mem::replace(&mut spared, asked) == asked
+            {
                 break;
             }
             peer.closing.set(false);
--- a/crates/gateway/tests/crossings/stopping.rs
+++ b/crates/gateway/tests/crossings/stopping.rs
@@ -128,3 +128,29 @@
         assert_eq!(answer.map(|a| a.status()), Some(200), "round {round}: taken by one that may take nobody");
     }
 }
+
+/// A client that writes on and takes no answer has bytes unread whenever it is looked at, and must not keep a process that ends.
+#[test]
+fn a_client_that_takes_no_answer_does_not_keep_a_stop() {
+    let host = ScriptedNode::start(|_| Reply::Answer(200, "", vec![b'x'; 60 << 10]));
+    let (mut gateway, _discovery) = start("stop-deaf", &crowd(&host));
+    let mut deaf = TcpStream::connect(&gateway.address).expect("a connection");
+    deaf.set_nonblocking(true).expect("no waiting");
+    let all: String = (0..2000).map(|_| request("look")).collect();
+    let mut written = 0;
+    // Until neither side takes more: the answers fill every buffer on the way, and so do the requests.
+    let mut last = (Instant::now(), 0);
+    while last.0.elapsed() < Duration::from_millis(700) {
+        if let Ok(n) = deaf.write(&all.as_bytes()[written..]) {
+            written += n;
+        }
+        if host.count() > last.1 {
+            last = (Instant::now(), host.count());
+        }
+        sleep(Duration::from_millis(1));
+    }
+    let told = Instant::now();
+    gateway.signal("TERM");
+    assert!(gateway.wait().success());
+    assert!(told.elapsed() < Duration::from_secs(20), "{:?}", told.elapsed());
+}
