Open the late host's queue while its request waits, so that the window's test can fail

Need: a_repeat_is_not_written_after_its_window passed on the code before the mend too: the queue was opened only once the client had its answer, so nothing could be written late.

Change: the queue is opened when the window is over, with the request still waiting; another request's connection comes up behind it.

--- a/crates/gateway/tests/crossings/once.rs
+++ b/crates/gateway/tests/crossings/once.rs
@@ -215,7 +215,7 @@
     let first = Agent::start(move |_, stream| {
         let _ = going.lock().expect("lock").recv();
         let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
-        // its close is a reset
+        // a reset
     });
     let late = Shut::new();
     let at = entry("s-1", &first.address, 1, "active");
@@ -227,16 +227,21 @@
     discovery.push(json!({"index": 42, "snapshot": false, "endpoints": [late.entry("s-2")]}));
     wait_for("the second host", || gateway.figure("router_cluster_size") == Some(2));
     go.send(()).expect("it waits");
+    // The queue is opened once the window is over: what the kernel still tries to open comes up then.
+    sleep(Duration::from_secs_f64(WINDOW + 0.1).saturating_sub(sent.elapsed()));
+    let (came, asked) = late.open();
     assert_eq!(
         client.read().expect("an answer").status(),
         502,
-        "it may have run, and hosts know it no longer"
+        "it may have run, and nobody knows it any more"
     );
-    // Nothing is left that could be written: what the kernel still tries to open was given up.
-    std::thread::sleep(Duration::from_secs_f64(WINDOW + 0.1).saturating_sub(sent.elapsed()));
-    let (_came, asked) = late.open();
-    assert_eq!(gateway.call("GET", "/_ready").status(), 200);
-    assert_eq!(asked.load(Ordering::SeqCst), 0);
+    // Another request has its connection come up behind it, so that it would have been seen.
+    drop(go);
+    let mut other = gateway.connect();
+    other.send("look");
+    wait_for("a connection", || came.load(Ordering::SeqCst) > 0);
+    assert_eq!(other.read().expect("an answer").status(), 200);
+    assert_eq!(asked.load(Ordering::SeqCst), 1, "the other request");
 }
 
 /// Two zones that the settings do not name are two, and hosts of none are in nobody's; the same for cells.
