Audit resends and refusals from a fleet's logs, with the margin each repeat had

Change: ottervane-rig resends FOLDER reads debug logs: how the attempt before ended, what that proves, both groups, and what was left of the window when the last byte was written; exit code 1 where a rule was broken. Reading logs is a leaf that count shares.

--- a/crates/rig/src/count.rs
+++ b/crates/rig/src/count.rs
@@ -1,39 +1,13 @@
 //! Counts over a fleet, from its logs: what all gateways together asked of nodes and register in each stretch of time,
 //! and what came of it at each node. What is harmless in one gateway shows only here.
 //!
-//! Reads the JSON log of gateways with `[log] level = "debug"`, one file a gateway. A line may begin with the time in
-//! seconds, as a bench that plays many gateways in step writes it; else its `timestamp` counts from the earliest.
+//! Reads what [`crate::logs`] gives; the time counts from the earliest line.
 
+use crate::logs::{self, LogsError};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
-use std::fs::File;
-use std::io::{BufRead, BufReader};
-use std::path::{Path, PathBuf};
-
-/// Why a folder of logs can't be counted.
-#[derive(Debug, thiserror::Error)]
-pub enum CountError {
-    /// The folder or a file in it can't be read.
-    #[error("cannot read {path}: {source}")]
-    Unreadable {
-        /// Which.
-        path: PathBuf,
-        /// What the system says.
-        source: std::io::Error,
-    },
-    /// No line in it is an event.
-    #[error(
-        "{0}: no line is a gateway's event; let the gateways log with [log] format = \"json\" and level = \"debug\""
-    )]
-    Nothing(PathBuf),
-}
-
-#[derive(Deserialize)]
-struct Line {
-    timestamp: String,
-    fields: Fields,
-}
+use std::path::Path;
 
 #[derive(Deserialize, Default)]
 #[serde(default)]
@@ -105,24 +79,6 @@
     pub passed_over: u64,
 }
 
-/// The seconds of a day in an RFC 3339 time; the day itself is not told apart from the next.
-fn seconds(timestamp: &str) -> Option<f64> {
-    let clock = timestamp.split('T').nth(1)?.trim_end_matches('Z');
-    let mut parts = clock.splitn(3, ':').map(|p| p.parse::<f64>().ok());
-    let (h, m, s) = (parts.next()??, parts.next()??, parts.next()??);
-    Some(h * 3600.0 + m * 60.0 + s)
-}
-
-fn event(text: &str) -> Option<(f64, Fields)> {
-    let (before, json) = text.split_at(text.find('{')?);
-    let line: Line = serde_json::from_str(json).ok()?;
-    let at = match before.trim() {
-        "" => seconds(&line.timestamp)?,
-        prefix => prefix.parse().ok().filter(|at: &f64| at.is_finite() && *at >= 0.0)?,
-    };
-    Some((at, line.fields))
-}
-
 impl Counts {
     /// Takes one event in; `listed` only says what a node is, and counts at any time.
     fn take(&mut self, at: f64, within: (f64, f64), fields: Fields) {
@@ -168,34 +124,12 @@
     ///
     /// # Errors
     /// Where the folder or a file can't be read, or no line is an event.
-    pub fn of(folder: &Path, every: f64, within: (f64, f64)) -> Result<Counts, CountError> {
-        let unreadable = |path: &Path| {
-            let path = path.to_owned();
-            move |source| CountError::Unreadable { path, source }
-        };
-        let mut files = Vec::new();
-        for entry in std::fs::read_dir(folder).map_err(unreadable(folder))? {
-            let path = entry.map_err(unreadable(folder))?.path();
-            files.extend(path.is_file().then_some(path));
-        }
-        files.sort();
+    pub fn of(folder: &Path, every: f64, within: (f64, f64)) -> Result<Counts, LogsError> {
         let mut counts = Counts { every, ..Counts::default() };
         let mut events = Vec::new();
-        for path in files {
-            let reader = BufReader::new(File::open(&path).map_err(unreadable(&path))?);
-            for text in reader.split(b'\n') {
-                let text = text.map_err(unreadable(&path))?;
-                match event(&String::from_utf8_lossy(&text)) {
-                    Some(event) => events.push(event),
-                    None => counts.passed_over += u64::from(!text.trim_ascii().is_empty()),
-                }
-            }
-        }
+        counts.passed_over = logs::read(folder, |_, at, fields: Fields| events.push((at, fields)))?;
         // Gateways that play in step begin at 0; a log by the wall clock begins at its earliest line.
         let first = events.iter().map(|(at, _)| *at).fold(f64::INFINITY, f64::min);
-        if !first.is_finite() {
-            return Err(CountError::Nothing(folder.to_owned()));
-        }
         for (at, fields) in events {
             counts.take(at - first, within, fields);
         }
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -5,6 +5,7 @@
 use ottervane_rig::live::gateways::Program;
 use ottervane_rig::replay::replay;
 use ottervane_rig::report::{Counts, Report};
+use ottervane_rig::resends;
 use ottervane_rig::script::Script;
 use ottervane_rig::simulate::simulate;
 use ottervane_rig::sweep::{self, plot, study, table, Study};
@@ -59,6 +60,11 @@
         #[arg(long, default_value_t = f64::INFINITY)]
         until: f64,
     },
+    /// Audit the resends and refusals that the logs of a fleet tell of (as for `count`): exit code 1 where a rule was broken.
+    Resends {
+        /// The folder of logs.
+        folder: PathBuf,
+    },
     /// Play a script of faults on a whole fleet: its links, its council, its audit.
     Fleet {
         /// The script.
@@ -264,6 +270,11 @@
             print!("{}", count::Counts::of(&folder, every, (from, until))?.tables());
             Ok(ExitCode::SUCCESS)
         }
+        Sub::Resends { folder } => {
+            let audit = resends::Audit::of(&folder)?;
+            print!("{}", audit.tables());
+            Ok(if audit.breaches.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(1) })
+        }
         Sub::Fleet { script, seed, in_virtual_time, program: named, json, history } => {
             let text = std::fs::read_to_string(&script).map_err(|e| format!("{}: {e}", script.display()))?;
             let script = whole::script::Script::parse(&script.display().to_string(), &text)?;
--- a/crates/rig/tests/count.rs
+++ b/crates/rig/tests/count.rs
@@ -1,6 +1,7 @@
 //! Counting over a fleet, on logs made here.
 
-use ottervane_rig::count::{CountError, Counts};
+use ottervane_rig::count::Counts;
+use ottervane_rig::logs::LogsError;
 use std::fs;
 use std::path::PathBuf;
 
@@ -84,9 +85,9 @@
     let folder = Folder::with("none", &[("n0.log", "2026-12-01 INFO listening\n{\"half\":\n\u{fffd}\n")]);
     let error = Counts::of(&folder.0, 1.0, (0.0, 1.0)).expect_err("nothing to count");
     assert!(
-        matches!(error, CountError::Nothing(_)) && error.to_string().contains("level = \"debug\""),
+        matches!(error, LogsError::Nothing(_)) && error.to_string().contains("level = \"debug\""),
         "{error}"
     );
     let gone = Counts::of(&folder.0.join("gone"), 1.0, (0.0, 1.0)).expect_err("no folder");
-    assert!(matches!(gone, CountError::Unreadable { .. }));
+    assert!(matches!(gone, LogsError::Unreadable { .. }));
 }
