Ask discovery again in time for a change to be known 6 s after it could be had

By the constants: 2.7 s of silence, up to 0.4 and then 0.8 of ask_within (4 and 8 s at 10 s) before the next call, 4 s until a held one is given up: up to 14.7 s.

Change: balancer.rs ask_later bounds the wait by what is left of 6 s after what was quiet already (the call's own time, or the silence of a watch, told with DiscoveryFailed) and 2.4 s for an answer; at least 0.3 s of spread. A held call is given up after 3.2 s (4): longer than the longest turn a known site gives (3 s). The times stand in control/rewatch.rs.

On sockets two silent calls in a row (watching.rs).

--- a/crates/control/src/rewatch.rs
+++ b/crates/control/src/rewatch.rs
@@ -6,6 +6,16 @@
 
 use std::time::Duration;
 
+/// Where discovery is asked, a call is given up when its first list has not come by then. Those that live wait their turn for 2 s, or 3;
+/// one that is held for ever was heard by a discovery that has gone, and the one that came back knows nothing of it.
+pub const GIVEN_UP: Duration = Duration::from_millis(3200);
+/// The same where lists are pushed: an agent on this machine answers at once. One that does not is silent, and may come back as an
+/// agent that knows nothing of the call. What it says then counts at once, so that the next call has to be there within the
+/// strictest time in which a drain must be heeded (300 ms), the wait before it ([`LONGEST`]) included.
+pub const AT_ONCE: Duration = Duration::from_millis(200);
+/// An empty line comes every 2 s on a live watch; without any for so long it is dead.
+pub const SILENCE: Duration = Duration::from_millis(2700);
+
 /// The first wait after a watch that held.
 pub const FIRST: Duration = Duration::from_millis(5);
 /// The longest; a third of the strictest time in which a drain must be heeded (300 ms), with the way and the reading.
--- a/crates/gateway/src/core/messages.rs
+++ b/crates/gateway/src/core/messages.rs
@@ -159,6 +159,8 @@
         watch: u64,
         /// Why.
         why: String,
+        /// For how long it had said nothing, or since when it was called.
+        quiet: Duration,
     },
 }
 
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -453,7 +453,9 @@
                 }
                 self.learn(list);
             }
-            Message::DiscoveryFailed { watch, why } if watch == self.watch => self.watch_failed(&why),
+            Message::DiscoveryFailed { watch, why, quiet } if watch == self.watch => {
+                self.watch_failed(&why, quiet)
+            }
             Message::Hosts { .. } | Message::DiscoveryFailed { .. } => {}
             Message::Recall(memory) => {
                 let taken = self.balancer.recall(self.handle.time(Instant::now()), &memory);
@@ -493,12 +495,12 @@
 
     /// The watch has ended by itself. When to begin the next is for the module to decide or, where lists are pushed, for
     /// [`Rewatch`].
-    fn watch_failed(&mut self, why: &str) {
+    fn watch_failed(&mut self, why: &str, quiet: Duration) {
         self.end_watch();
         let (address, version) = (self.discovery, self.version);
         if !self.pushed() {
             warn!(%address, version, why, "discovery: the watch has ended; it is asked again within seconds");
-            return self.decide(Event::DiscoveryFailed);
+            return self.decide(Event::DiscoveryFailed { quiet });
         }
         let now = Instant::now();
         let lost = self.rewatch.lost(self.handle.time(now));
@@ -566,7 +568,7 @@
             if self.pushed() {
                 self.subscribe();
             } else if ended {
-                self.decide(Event::DiscoveryFailed);
+                self.decide(Event::DiscoveryFailed { quiet: Duration::ZERO });
             }
         }
     }
@@ -656,7 +658,7 @@
         if self.pushed() {
             self.subscribe();
         } else if watched {
-            self.decide(Event::DiscoveryFailed);
+            self.decide(Event::DiscoveryFailed { quiet: Duration::ZERO });
         }
     }
 
--- a/crates/gateway/src/discovery/watch.rs
+++ b/crates/gateway/src/discovery/watch.rs
@@ -8,21 +8,13 @@
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use ottervane_control::rewatch::{AT_ONCE, GIVEN_UP, SILENCE};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
 
-/// A call may wait its turn for so long before its first line comes.
-const FIRST_LINE: Duration = Duration::from_secs(4);
-/// The same where lists are pushed: an agent on this machine answers at once. One that does not is silent, and may come back as an
-/// agent that knows nothing of the call. What it says then counts at once, so that the next call has to be there within the
-/// strictest time in which a drain must be heeded (300 ms), the wait before it (80 ms) included.
-const AT_ONCE: Duration = Duration::from_millis(200);
-/// An empty line comes every 2 s on a live watch; without any for so long it is dead. News count as told 6 s after
-/// they were due, and the module lets up to 4 s pass before it asks again: there is no time to lose.
-const SILENCE: Duration = Duration::from_millis(2700);
-
 #[derive(Debug, thiserror::Error)]
 enum WatchError {
     #[error("{0}")]
@@ -45,21 +37,25 @@
     gateway: Handle,
     watch: u64,
     why: String,
+    /// When the last word came, or the call was made.
+    heard: Cell<Instant>,
 }
 
 impl Drop for Ended {
     fn drop(&mut self) {
         let why = std::mem::take(&mut self.why);
-        self.gateway.tell(Message::DiscoveryFailed { watch: self.watch, why });
+        let quiet = self.heard.get().elapsed();
+        self.gateway.tell(Message::DiscoveryFailed { watch: self.watch, why, quiet });
     }
 }
 
 /// Watches the list from version `since` on until that fails; the gateway counts its watches, and this is number
 /// `watch`. Where lists are `pushed` the first word comes at once.
 pub async fn watch(address: SocketAddr, since: u64, watch: u64, pushed: bool, gateway: Handle) {
-    let mut ended = Ended { gateway, watch, why: "its task has panicked".to_owned() };
-    let first = if pushed { AT_ONCE } else { FIRST_LINE };
-    if let Err(error) = follow(address, since, watch, first, &ended.gateway).await {
+    let heard = Cell::new(Instant::now());
+    let mut ended = Ended { gateway, watch, why: "its task has panicked".to_owned(), heard };
+    let first = if pushed { AT_ONCE } else { GIVEN_UP };
+    if let Err(error) = follow(address, since, watch, first, &ended).await {
         ended.why = error.to_string();
     }
 }
@@ -69,7 +65,7 @@
     since: u64,
     watch: u64,
     first: Duration,
-    gateway: &Handle,
+    Ended { gateway, heard, .. }: &Ended,
 ) -> Result<(), WatchError> {
     // One time for all that comes before the first word: a call that is heard and not answered is as silent as one that is not.
     let mut due = Instant::now() + first;
@@ -102,7 +98,8 @@
             let Ok(data) = frame.into_data() else { continue };
             lists.take(&data);
             while let Some(word) = lists.word()? {
-                due = Instant::now() + SILENCE;
+                heard.set(Instant::now());
+                due = heard.get() + SILENCE;
                 match word {
                     Word::List(list) => gateway.tell(Message::Hosts { watch, list }),
                     // Each call is owed an answer, also where nothing has changed.
--- a/crates/gateway/tests/crossings/watching.rs
+++ b/crates/gateway/tests/crossings/watching.rs
@@ -1,6 +1,7 @@
 //! Watches that fall silent, trickle, or come in pieces.
 
 use super::*;
+use ottervane_rig::scripted::entry;
 
 fn pushed(name: &str, agent: &Agent, known: &[Value]) -> Gateway {
     let nobody = ScriptedRegister::start();
@@ -38,7 +39,7 @@
     let [draining, other] = [(); 2].map(|()| ScriptedNode::start(|_| Reply::ok("ok")));
     let back = Arc::new(AtomicBool::new(false));
     let leaving = json!({"index": 50, "snapshot": true, "endpoints": [
-        ottervane_rig::scripted::entry("s-1", &draining.address.to_string(), 1, "leaving"), other.entry("s-2", 1)]});
+        entry("s-1", &draining.address.to_string(), 1, "leaving"), other.entry("s-2", 1)]});
     let told = back.clone();
     let agent = Agent::start(move |_, mut stream| {
         if told.load(Ordering::SeqCst) {
@@ -110,3 +111,41 @@
     assert!(hosts[0].count() > 0);
     assert_eq!(agent.calls(), 1, "one watch for all of them");
 }
+
+/// Where discovery is asked: a watch that falls silent, then two calls that are heard and never answered. The one after them is, and the
+/// drain that it tells of is heeded.
+#[test]
+fn two_silent_calls_in_a_row_where_discovery_is_asked_keep_no_drain_back() {
+    let [draining, other] = [(); 2].map(|()| ScriptedNode::start(|_| Reply::ok("ok")));
+    let up = whole(49, &[draining.entry("s-1", 1)]);
+    let leaving = json!({"index": 50, "snapshot": true, "endpoints": [
+        entry("s-1", &draining.address.to_string(), 1, "leaving"), other.entry("s-2", 1)]});
+    let times = Arc::new(std::sync::Mutex::new(Vec::new()));
+    let told = times.clone();
+    let agent = Agent::start(move |call, mut stream| {
+        told.lock().expect("lock").push(Instant::now());
+        let list = [&up, &leaving][usize::from(call > 2)];
+        if call == 0 || call > 2 {
+            let _ = stream.write_all(HEAD);
+            let _ = chunk(&mut stream, format!("{list}\n").as_bytes());
+        }
+        hold(stream);
+    });
+    let nobody = ScriptedRegister::start();
+    let mut text = managed(&nobody, &[]);
+    text["discovery"] = agent.address.clone().into();
+    text["settings"]["safety"]["ask_within_s"] = 10.0.into();
+    let gateway = Gateway::start_with(&PROGRAM, "two-silent", &nobody, &text);
+    gateway.signal("HUP");
+    wait_for("the first list", || gateway.ask("look").status() == 200);
+    wait_for("the drain to be known", || gateway.ask("look").status() == 200 && other.count() > 0);
+    let before = draining.count();
+    for _ in 0..10 {
+        assert_eq!(gateway.ask("look").status(), 200);
+    }
+    assert_eq!(draining.count(), before);
+    // What passed between a call's being made and the next: 3.5 s on a machine that has time, and up to 12 s before.
+    let times = times.lock().expect("lock");
+    let apart: Vec<Duration> = times.windows(2).skip(1).map(|pair| pair[1] - pair[0]).collect();
+    assert!(apart.len() >= 2 && apart.iter().all(|gap| *gap < Duration::from_secs(10)), "{apart:?}");
+}
--- a/crates/rig/src/simulate/register.rs
+++ b/crates/rig/src/simulate/register.rs
@@ -27,7 +27,7 @@
         self.gateways[gateway].watching = list.is_some();
         match list {
             Some(list) => self.tell(gateway, list),
-            None => self.decide(gateway, Event::DiscoveryFailed),
+            None => self.decide(gateway, Event::DiscoveryFailed { quiet: std::time::Duration::ZERO }),
         }
     }
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -321,7 +321,10 @@
         hosts: &'a [Host],
     },
     /// A [`Action::Subscribe`] failed or the subscription broke.
-    DiscoveryFailed,
+    DiscoveryFailed {
+        /// For how long it had said nothing, where a subscription broke; a call's time is known.
+        quiet: Duration,
+    },
     /// A client's request: one final answer is owed from here on.
     Request(Request),
     /// The body of a [`Request::coming`] has begun to leave: what is gone can't be sent again.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -42,6 +42,11 @@
 const PACE_GAIN: f64 = 0.02; // slow, or it follows the queues of the moment in place of the hosts
 const ENOUGH: f64 = 20.0; // least requests that the rates of served and lost average: few come at size
 const HOLD_S: f64 = 0.015; // a request for which no host is ready is looked at again after so many seconds
+/// A change counts as told so long after discovery had it and could be reached, and a call is answered within this, its turn included:
+/// what is left of the first is for noticing and for the wait before the call, which is this at least.
+const TOLD_S: f64 = 6.0;
+const ANSWER_S: f64 = 2.4;
+const SPREAD_S: f64 = 0.3;
 const ASK: u64 = 0; // the timer token of discovery upkeep
 const CLOSE: u64 = 1 << 62; // the timer token of closing on drains
 
@@ -224,6 +229,7 @@
     listed: (f64, f64), // requests held a core, as the last list with live weights has it, and when that came
     asking: bool, // discovery: an answer is awaited; calls failed in a row, below 0 before the first list
     asks_failed: i32,
+    asked: f64,    // when it was asked last
     closing: bool, // A timer for closing on drains is set
     ended: Ended,
 }
@@ -250,6 +256,7 @@
             listed: (0.0, f64::NEG_INFINITY),
             asking: false,
             asks_failed: -1,
+            asked: 0.0,
             closing: false,
             ended: Ended { host: HostId(u32::MAX), at: f64::NEG_INFINITY, usual: 0.0, last: 0.0 },
         }
@@ -277,7 +284,10 @@
         }
         match event {
             Event::Hosts { full, hosts } => self.learn(now, full, hosts, actions),
-            Event::DiscoveryFailed => self.ask_later(actions),
+            Event::DiscoveryFailed { quiet } => {
+                let quiet = if self.asking { now - self.asked } else { quiet.as_secs_f64() };
+                self.ask_later(quiet, actions);
+            }
             Event::Request(r) => self.arrive(now, &r, actions),
             // What follows is between the host and the client: the module is through with it.
             Event::Started { request, attempt, latency } => {
@@ -303,7 +313,7 @@
             }
             Event::Abandoned { request } => self.with(now, request, actions, |_, req, _| req.open = false),
             Event::Timer { token: ASK } => {
-                self.asking = true;
+                (self.asking, self.asked) = (true, now);
                 actions.push(Action::Subscribe);
             }
             Event::Timer { token: CLOSE } => {
@@ -378,9 +388,13 @@
         }
     }
 
-    fn ask_later(&mut self, actions: Out) {
+    /// Asks discovery after a while, later with each failure in a row, but soon enough for what it may have had to tell since it
+    /// fell `quiet`. The wait is spread from next to nothing, so that many gateways do not come together.
+    fn ask_later(&mut self, quiet: f64, actions: Out) {
         let Some(within) = self.set.ask_within else { return };
         let most = within.as_secs_f64() * (0.1 * 2f64.powi(self.asks_failed.clamp(1, 3) + 1)).min(0.8);
+        let most =
+            if self.asks_failed < 0 { most } else { most.min((TOLD_S - ANSWER_S - quiet).max(SPREAD_S)) };
         (self.asks_failed, self.asking) = (self.asks_failed + 1, false);
         actions.push(wake(most * self.rng.f64(), ASK));
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -387,7 +387,7 @@
         let mut hosts: Vec<Host> = Vec::new();
         let event = match kind {
             "BackendsChanged" => match e.mode.as_deref() {
-                Some("broken") => Event::DiscoveryFailed,
+                Some("broken") => Event::DiscoveryFailed { quiet: Duration::ZERO },
                 Some(mode @ ("patch" | "whole" | "stale_copy")) => {
                     let number = e.roster_id.ok_or_else(|| lacks("roster_id"))?;
                     let list = self.lists.get(&number).ok_or_else(|| format!("unknown list {number}"))?;
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -360,7 +360,7 @@
             bench.now += after;
             bench.give(Event::Timer { token });
             assert_eq!(bench.last, [Action::Subscribe]);
-            bench.give(Event::DiscoveryFailed);
+            bench.give(Event::DiscoveryFailed { quiet: Duration::ZERO });
         }
     }
     assert!(firsts.len() == 20, "spread over the instances");
