Test that half a word proves nothing, and that requests keep their class over SIGHUP

Need: suspects of the issue: X-Not-Processed on an answer that breaks off; effect, group and window changed by SIGHUP under an open request.

Seen: both hold. The first since an answer that is not whole is Broken; the second because a class's number is nobody else's while a request holds it (control/classes.rs), so that what is read by number at the moment of decision is the old class's. No change of code.

--- a/crates/gateway/tests/crossings/once.rs
+++ b/crates/gateway/tests/crossings/once.rs
@@ -304,3 +304,72 @@
         assert!(![429, 503].contains(&answer.status()), "{n}: {}", answer.status());
     }
 }
+
+/// A word of not having processed it that breaks off, or comes with a body that does, is half an answer and proves nothing.
+#[test]
+fn half_a_word_of_not_having_processed_it_proves_nothing() {
+    let halves: [&[u8]; 3] = [
+        b"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 10\r\n\r\nno",
+        b"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\n",
+        b"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n",
+    ];
+    for (n, half) in halves.into_iter().enumerate() {
+        let host = Agent::start(move |_, mut stream| {
+            let _ = stream.write_all(half);
+        });
+        let at = |name: &str| entry(name, &host.address, 1, "active");
+        let (gateway, _discovery) = start(&format!("half-{n}"), &[at("s-1"), at("s-2")]);
+        assert_eq!((gateway.ask("once").status(), host.calls()), (502, 1), "{n}");
+    }
+}
+
+/// A request keeps its class's effect, group and window while the file gives the class others.
+#[test]
+fn a_request_keeps_what_its_class_was_when_it_came() {
+    // What the class is at first, and then; how the request ends whose host breaks off after the file has changed.
+    let (unsafe_, safe) = (json!({"effect": "single_shot"}), json!({"effect": "free"}));
+    let keyed = |group: &str, s: f64| json!({"effect": "guarded", "group": group, "dedup_window_s": s});
+    let cases = [
+        ("once", unsafe_.clone(), keyed("all", 40.0), 502, 1),
+        ("once", unsafe_.clone(), safe, 502, 1),
+        ("book", keyed("cell", 40.0), keyed("all", 40.0), 502, 1),
+        ("book", keyed("all", 40.0), keyed("cell", 40.0), 200, 2),
+        ("book", keyed("all", 40.0), unsafe_, 200, 2),
+        ("book", keyed("cell", 0.001), keyed("all", 40.0), 502, 1),
+    ];
+    for (n, (class, was, is, status, tries)) in cases.into_iter().enumerate() {
+        let (go, going) = std::sync::mpsc::channel::<()>();
+        let going = std::sync::Mutex::new(going);
+        let host = Agent::start(move |call, mut stream| {
+            if call == 0 {
+                let _ = going.lock().expect("lock").recv();
+                return;
+            }
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            hold(stream);
+        });
+        let place = if class == "once" { 3 } else { 2 };
+        let discovery = ScriptedRegister::start();
+        let at = [entry("s-1", &host.address, 1, "active"), entry("s-2", &host.address, 2, "active")];
+        let mut config = managed(&discovery, &at);
+        let mut rules = |of: &Value| {
+            for (key, value) in of.as_object().expect("an object") {
+                config["settings"]["classes"][place][key] = value.clone();
+            }
+            config["settings"]["classes"][place]["promise_s"] = 3.0.into();
+            config.clone()
+        };
+        let (before, after) = (rules(&was), rules(&is));
+        let name = format!("keeps-{n}");
+        let gateway = Gateway::start_with(&PROGRAM, &name, &discovery, &before);
+        let mut client = gateway.connect();
+        client.send(class);
+        wait_for("the first attempt", || host.calls() == 1);
+        write_config(&PROGRAM, &name, &after.to_string());
+        gateway.signal("HUP");
+        wait_for("the new file", || gateway.figure("router_conf_loaded") == Some(1));
+        go.send(()).expect("it waits");
+        let answer = client.read().expect("an answer").status();
+        assert_eq!((answer, host.calls()), (status, tries), "{n}: {class}, {was} and then {is}");
+    }
+}
