Go by the system's descriptors where they are fewer than promised, and let what rests give way

Need: idle clients may fill the descriptors while discovery is down, also where the system gives fewer than limits.sockets says: then accept, calls to discovery and dials fail with EMFILE, and nothing that rests was closed for that (listeners/http accept: the error was only waited over).

Change: the budget is made from the smaller of the file's and the system's (ulimit -n), with one line that names both; under 48 the start fails with cause and way out. An accept that fails closes what rests longest.

Seen: crowded.rs fills 64 descriptors with 128 resting clients while discovery takes no call: new clients, staff and the next call to discovery get through, and its news at the return; this held before too. The start with 40 descriptors fails only with the change. With the smaller budget and the close on a failed accept taken out the rest of that test still passes, for what rests is let go within 2.5 s anyway: that part is a guard, not a proof.

--- a/crates/gateway/src/config/platform.rs
+++ b/crates/gateway/src/config/platform.rs
@@ -163,6 +163,32 @@
         digest(settings.to_string().as_bytes())
     }
 
+    /// Goes by what the system gives this process, where that is less than the file says: what is opened beyond it fails, also a call to
+    /// discovery or a host.
+    ///
+    /// # Errors
+    /// Where nothing fits into it.
+    pub fn hold_to(&mut self, system: usize) -> Result<(), ConfigError> {
+        let said = self.limits.sockets;
+        if system >= said {
+            return Ok(());
+        }
+        if system < LEAST_SOCKETS {
+            return Err(ConfigError::Unusable(format!(
+                "the system gives this process {system} descriptors (ulimit -n), at least {LEAST_SOCKETS} needed; limits.sockets in \
+                 the file is {said}"
+            )));
+        }
+        tracing::warn!(
+            system,
+            said,
+            "the system gives this process fewer descriptors (ulimit -n) than limits.sockets says: going by the system's; raise the one \
+             or lower the other"
+        );
+        self.limits.sockets = system;
+        Ok(())
+    }
+
     /// Leaves so many descriptors to another part of the program.
     ///
     /// # Errors
--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -162,6 +162,9 @@
         info!("[fleet] is in the operator's file and stays off: it takes effect with `run --fleet`");
     }
     let mut config = Config::at_start()?;
+    if let Some(system) = rustix::process::getrlimit(rustix::process::Resource::Nofile).current {
+        config.hold_to(usize::try_from(system).unwrap_or(usize::MAX))?;
+    }
     let spoken = operator.fleet.as_ref().map_or(0, Fleet::descriptors);
     config.leave(spoken)?;
     let basis = operator.fleet.as_ref().map(|_| Basis {
--- a/crates/gateway/src/listeners/http/mod.rs
+++ b/crates/gateway/src/listeners/http/mod.rs
@@ -133,6 +133,7 @@
                     if !std::mem::replace(&mut failing, true) {
                         error!(%error, "no connection can be accepted; trying again every 5 ms");
                     }
+                    self.close_idle(); // what rests gives way, also where the system is short of what was promised
                     tokio::time::sleep(Duration::from_millis(5)).await;
                     continue;
                 }
@@ -162,6 +163,7 @@
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return Ok(()),
                 Err(error) => {
                     warn!(%error, "stopping: a connection that waits can't be accepted; trying again every 5 ms");
+                    self.close_idle();
                     tokio::time::sleep(Duration::from_millis(5)).await;
                 }
             }
--- /dev/null
+++ b/crates/gateway/tests/crossings/crowded.rs
@@ -0,0 +1,85 @@
+//! Clients that rest and fill the descriptors while discovery is down.
+
+use super::*;
+use ottervane_rig::scripted::entry;
+
+/// Many clients that each come, are answered or never say a word, and rest.
+fn fill(gateway: &Gateway, clients: usize, asks: bool) -> Vec<TcpStream> {
+    let come = |_| {
+        let mut stream = TcpStream::connect(&gateway.address).expect("a connection");
+        if asks {
+            let _ = stream.write_all(b"GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+        }
+        stream
+    };
+    (0..clients).map(come).collect()
+}
+
+/// Discovery falls silent and takes no call; twice as many clients as there are descriptors come and rest. It is reached again at its
+/// return, and everybody else is served meanwhile.
+#[test]
+fn clients_that_rest_keep_neither_discovery_nor_staff_nor_others_out() {
+    for (n, asks) in [(0, false), (1, true)] {
+        let [first, other] = [(); 2].map(|()| ScriptedNode::start(|_| Reply::ok("ok")));
+        let back = Arc::new(AtomicBool::new(false));
+        let news = json!({"index": 50, "snapshot": true, "endpoints": [
+            entry("s-1", &first.address.to_string(), 1, "leaving"), other.entry("s-2", 1)]});
+        let told = back.clone();
+        let agent = Agent::start(move |_, mut stream| {
+            if told.load(Ordering::SeqCst) {
+                let _ = stream.write_all(HEAD);
+                let _ = chunk(&mut stream, format!("{news}\n").as_bytes());
+                hold(stream);
+            }
+        });
+        let nobody = ScriptedRegister::start();
+        let mut text = managed(&nobody, &[first.entry("s-1", 1)]);
+        text["discovery"] = agent.address.clone().into();
+        text["limits"]["sockets"] = 64.into();
+        let gateway = Gateway::start_with(&PROGRAM, &format!("crowded-{n}"), &nobody, &text);
+        gateway.signal("HUP");
+        wait_for("the outage to be noticed", || agent.calls() > 1);
+        let resting = fill(&gateway, 128, asks);
+        assert_eq!(gateway.ask("look").status(), 200, "a new client, by the list held");
+        assert_eq!(gateway.call("GET", "/_ready").status(), 200);
+        let calls = agent.calls();
+        wait_for("another call to discovery", || agent.calls() > calls);
+        back.store(true, Ordering::SeqCst);
+        wait_for("the news", || gateway.ask("look").status() == 200 && other.count() > 0);
+        assert_eq!(gateway.call("GET", "/_ready").status(), 200);
+        drop(resting);
+    }
+}
+
+/// The system gives the process fewer descriptors than the file says: it goes by the fewer, what rests makes room for who comes, and
+/// discovery and hosts are reached.
+#[test]
+fn a_process_that_is_given_fewer_descriptors_than_promised_serves_on() {
+    let few = |name: &str, most: u32| {
+        let script = std::path::Path::new(PROGRAM.folder).join(format!("{name}.sh"));
+        let text = format!("#!/bin/sh\nulimit -n {most}\nexec {} \"$@\"\n", PROGRAM.path);
+        std::fs::write(&script, text).expect("a script");
+        let mode = std::os::unix::fs::PermissionsExt::from_mode(0o755);
+        std::fs::set_permissions(&script, mode).expect("a program");
+        let path: &'static str = Box::leak(script.display().to_string().into_boxed_str());
+        Program { path, ..PROGRAM }
+    };
+    let host = ScriptedNode::start(|_| Reply::ok("ok"));
+    let discovery = ScriptedRegister::start();
+    let mut config = managed(&discovery, &[host.entry("s-1", 1)]);
+    config["limits"]["sockets"] = 256.into();
+    let gateway = Gateway::start_with(&few("few-descriptors", 56), "few-descriptors", &discovery, &config);
+    let resting = fill(&gateway, 100, true);
+    assert_eq!(gateway.ask("look").status(), 200);
+    assert_eq!(gateway.call("GET", "/_ready").status(), 200);
+    let other = ScriptedNode::start(|_| Reply::ok("ok"));
+    discovery.push(json!({"index": 43, "snapshot": true, "endpoints": [other.entry("s-2", 1)]}));
+    wait_for("the news", || gateway.ask("look").status() == 200 && other.count() > 0);
+    drop(resting);
+    let mut too_few = ottervane_rig::scripted::spawn_gateway(
+        &few("too-few-descriptors", 40),
+        "too-few-descriptors",
+        &config.to_string(),
+    );
+    wait_for("its end", || too_few.try_wait().expect("a state").is_some_and(|status| !status.success()));
+}
--- a/crates/gateway/tests/crossings/main.rs
+++ b/crates/gateway/tests/crossings/main.rs
@@ -14,6 +14,7 @@
 use std::time::{Duration, Instant};
 
 mod closing;
+mod crowded;
 mod leaving;
 mod once;
 mod stopping;
