Measure how long after their clients left the last attempts begin

Need: no attempt, first or further, begins over 0.1 s after its client closed.

Change: leaving.rs has 480 clients leave at random under load, most between two attempts, some with requests or half a head behind; it prints how late the last attempts began, and fails over 1 s, the bound of a busy machine.

--- a/crates/gateway/tests/crossings/leaving.rs
+++ b/crates/gateway/tests/crossings/leaving.rs
@@ -219,3 +219,67 @@
         assert_eq!(gateway.ask("look").status(), 200);
     }
 }
+
+/// How long after their clients left the last attempts began, under load: each request is broken off once or more on its way, so that
+/// many leave between two attempts. The bound is that of a busy machine; `docs/measurements/once-and-told.md` has what was measured.
+#[test]
+fn no_attempt_begins_long_after_its_client_has_left() {
+    let begun = Arc::new(std::sync::Mutex::new(Vec::<(String, Instant)>::new()));
+    let hosts: Vec<_> = (0..6u32)
+        .map(|n| {
+            let (begun, calls) = (begun.clone(), AtomicUsize::new(0));
+            ScriptedNode::start(move |request| {
+                let id = request.header("x-request-id").unwrap_or_default().to_owned();
+                begun.lock().expect("lock").push((id, Instant::now()));
+                sleep(Duration::from_millis(u64::from(n) + 2));
+                match calls.fetch_add(1, Ordering::SeqCst) % 3 {
+                    0 => Reply::ok("ok"),
+                    _ => Reply::Break,
+                }
+            })
+        })
+        .collect();
+    let entries: Vec<_> =
+        hosts.iter().enumerate().map(|(n, host)| host.entry(&format!("s-{n}"), 1)).collect();
+    let (gateway, _discovery) = start("left-load", &entries);
+    let left = Arc::new(std::sync::Mutex::new(std::collections::HashMap::<String, Instant>::new()));
+    let threads: Vec<_> = (0..12u64)
+        .map(|thread| {
+            let mut clients: Vec<Client> = (0..40).map(|_| gateway.connect()).collect();
+            let left = left.clone();
+            spawn(move || {
+                let mut draws = fastrand::Rng::with_seed(thread);
+                while let Some(mut client) = clients.pop() {
+                    let text = request("look");
+                    let id = text.split("X-Request-ID: ").nth(1).and_then(|t| t.split("\r\n").next());
+                    let id = id.expect("a number").to_owned();
+                    // Some have further requests, or half a head, behind it when they go.
+                    client.write((text + &behind()[draws.usize(0..4)]).as_bytes());
+                    sleep(Duration::from_micros(draws.u64(0..25_000)));
+                    drop(client);
+                    left.lock().expect("lock").insert(id, Instant::now());
+                }
+            })
+        })
+        .collect();
+    threads.into_iter().for_each(|thread| thread.join().expect("clients"));
+    held(&gateway, 0);
+    let left = left.lock().expect("lock");
+    let mut late: Vec<Duration> = begun
+        .lock()
+        .expect("lock")
+        .iter()
+        .filter_map(|(id, at)| at.checked_duration_since(*left.get(id)?).filter(|late| !late.is_zero()))
+        .collect();
+    late.sort_unstable();
+    let at = |part: f64| late.get((late.len() as f64 * part) as usize).copied().unwrap_or_default();
+    println!(
+        "{} of {} left before an attempt: median {:?}, p99 {:?}, most {:?}",
+        late.len(),
+        left.len(),
+        at(0.5),
+        at(0.99),
+        late.last()
+    );
+    assert!(late.last().is_none_or(|most| *most < Duration::from_millis(1000)), "{late:?}");
+}
