Test at each byte and end what a wire says of the request written to it

Need: what proves never ran has to hold at each step of head and body, for each form, however the bytes go and whatever ends the attempt.

Change: wire/tests.rs writes requests with no body, a length, chunks and a length of nothing in random pieces, plain and vectored, on a real connection, and looks at every step and every end; and nothing is written from the latest moment on, whatever had gone before. No change of the program.

--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -268,3 +268,6 @@
         Poll::Ready(Ok(put))
     }
 }
+
+#[cfg(test)]
+mod tests;
