Forget that a socket is ready only when the kernel says it would block

Cause: wire.rs poll_fill took a read that returned less than there was room for to have emptied the socket and forgot its readiness; the runtime's own TcpStream infers the same, for short writes too (discovery's watch, the second address, the fleet's link). The rest then waits for a change that the edge-triggered poller never tells. Change: stream.rs, one place that reads and writes until "would block" and makes an interrupted call again; the connections of clients and hosts, the watch, the second address and the link go through it. Peeks are made again after EINTR as well.

--- a/crates/gateway/src/discovery/watch.rs
+++ b/crates/gateway/src/discovery/watch.rs
@@ -3,6 +3,7 @@
 use super::list::List;
 use super::stream::{Lists, Word};
 use crate::core::messages::{Handle, Message};
+use crate::stream::Stream;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::client::conn::http1;
@@ -72,7 +73,7 @@
     let opening = async {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(Stream::new(stream))).await?;
         let request = Request::get(format!("/registry/instances?follow=1&since={since}"))
             .header("Host", address.to_string())
             .body(Empty::<Bytes>::new())
--- a/crates/gateway/src/fleet/commands.rs
+++ b/crates/gateway/src/fleet/commands.rs
@@ -1,6 +1,7 @@
 //! What staff ask all gateways of a fleet, and how the answers are shown. Who could not be asked is always named: that nobody did
 //! something is only said once all have answered.
 
+use crate::stream::Stream;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use ottervane_fleet::register::{Entry, Require};
@@ -83,7 +84,7 @@
     let asking = async {
         let stream = TcpStream::connect(peer.address).await.map_err(|e| e.to_string())?;
         let codec = LengthDelimitedCodec::builder().max_frame_length(LONGEST).new_codec();
-        let mut framed = Framed::new(stream, codec);
+        let mut framed = Framed::new(Stream::new(stream), codec);
         let hello = wire::write(&Hello::new(fleet, Caller::Staff, &peer.name)).unwrap_or_default();
         let question = wire::write(&Frame::Ask(question.clone())).ok_or("the question is too long")?;
         framed.send(Bytes::from(hello)).await.map_err(|e| e.to_string())?;
--- a/crates/gateway/src/fleet/link.rs
+++ b/crates/gateway/src/fleet/link.rs
@@ -5,6 +5,7 @@
 //! council's log or as a whole when it is back.
 
 use super::Fleet;
+use crate::stream::Stream;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use ottervane_fleet::members::Down;
@@ -17,7 +18,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::io::{split, ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
@@ -42,8 +43,8 @@
 /// While the address is another process's, it is tried this often.
 const BIND_AGAIN: Duration = Duration::from_millis(200);
 
-type Reader = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
-type Writer = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
+pub(super) type Reader = FramedRead<ReadHalf<Stream>, LengthDelimitedCodec>;
+pub(super) type Writer = FramedWrite<WriteHalf<Stream>, LengthDelimitedCodec>;
 
 /// What waits for one peer.
 #[derive(Default)]
@@ -145,7 +146,7 @@
 
 fn framed(stream: TcpStream) -> (Reader, Writer) {
     let _ = stream.set_nodelay(true);
-    let (read, write) = stream.into_split();
+    let (read, write) = split(Stream::new(stream));
     let codec = || LengthDelimitedCodec::builder().max_frame_length(LONGEST).new_codec();
     (FramedRead::new(read, codec()), FramedWrite::new(write, codec()))
 }
--- a/crates/gateway/src/fleet/staff.rs
+++ b/crates/gateway/src/fleet/staff.rs
@@ -1,5 +1,6 @@
 //! What staff ask over the link, and what this gateway answers.
 
+use super::link::{Reader, Writer};
 use super::Fleet;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
@@ -9,9 +10,7 @@
 use serde_json::{json, Value};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::{sleep, timeout, Instant};
-use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
 /// Staff who ask nothing for so long are cut off.
 const QUIET: Duration = Duration::from_secs(5);
@@ -21,11 +20,7 @@
 const LOOK: Duration = Duration::from_millis(20);
 
 /// Answers one caller's questions.
-pub(super) async fn serve(
-    fleet: &Rc<Fleet>,
-    mut reader: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
-    mut writer: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
-) -> Result<(), String> {
+pub(super) async fn serve(fleet: &Rc<Fleet>, mut reader: Reader, mut writer: Writer) -> Result<(), String> {
     while let Ok(Some(Ok(bytes))) = timeout(QUIET, reader.next()).await {
         let Frame::Ask(question) = wire::read(&bytes).map_err(|e| e.to_string())? else {
             return Err("staff may only ask".to_owned());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod listeners;
 pub mod names;
 pub mod sockets;
+mod stream;
 pub mod upstream;
 mod wire;
--- a/crates/gateway/src/listeners/management.rs
+++ b/crates/gateway/src/listeners/management.rs
@@ -6,6 +6,7 @@
 
 use crate::daemon::service::Service;
 use crate::sockets::{Slot, Slots};
+use crate::stream::Stream;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -93,7 +94,7 @@
     });
     let mut builder = http1::Builder::new();
     builder.keep_alive(false).max_buf_size(HEAD);
-    let connection = builder.serve_connection(TokioIo::new(stream), called);
+    let connection = builder.serve_connection(TokioIo::new(Stream::new(stream)), called);
     tokio::select! {
         // What can't be read is answered by the library with 400, or 431 where it is too long.
         _ = timeout(CALL, connection) => {}
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -1,6 +1,7 @@
 //! A TCP stream that tells what has passed over it: HTTP is another's work, but which bytes came when is not told.
 
 use crate::framing::Framing;
+use crate::stream::{self, is_transient};
 use ottervane_control::execution::Written;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -78,7 +79,12 @@
 }
 
 fn peek(stream: &TcpStream) -> io::Result<usize> {
-    SockRef::from(stream).peek(&mut [MaybeUninit::uninit()])
+    loop {
+        match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            peeked => return peeked,
+        }
+    }
 }
 
 /// Has the runtime forget that the stream was ready: its next change tells.
@@ -131,39 +137,18 @@
         !matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
-    fn poll_fill(&self, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.stream.poll_read_ready(cx))?;
-            let room = buffer.remaining();
-            match self.stream.try_read_buf(buffer) {
-                // Less than there was room for is all that there was.
-                Ok(n) => {
-                    if n > 0 && n < room {
-                        forget(&self.stream, Interest::READABLE);
-                    }
-                    return Poll::Ready(Ok(()));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
-        }
-    }
-
+    /// Has `put` write to the stream, where what is written may still be.
     fn poll_put(
         &self,
         cx: &mut Context<'_>,
         put: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.stream.poll_write_ready(cx))?;
+        stream::poll_write(&self.stream, cx, |stream| {
             if self.marks.is_late() {
-                return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+                return Err(io::ErrorKind::TimedOut.into());
             }
-            match put(&self.stream) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                put => return Poll::Ready(put),
-            }
-        }
+            put(stream)
+        })
     }
 
     /// Notes that the first `written` of these bytes have gone.
@@ -194,7 +179,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let (before, mut spare) = (buffer.filled().len(), 4);
-        let mut read = self.poll_fill(cx, buffer);
+        let mut read = stream::poll_read(&self.stream, cx, buffer);
         while let Some(framing) = self.framing.as_ref().filter(|_| buffer.filled().len() > before) {
             let kept = framing.borrow_mut().take(&mut buffer.filled_mut()[before..]);
             buffer.set_filled(before + kept);
@@ -206,7 +191,7 @@
                 return Poll::Pending;
             }
             spare -= 1;
-            read = self.poll_fill(cx, buffer); // nothing would be the end
+            read = stream::poll_read(&self.stream, cx, buffer); // nothing would be the end
         }
         if read.is_pending() && self.marks.idle.get() && self.has_news() {
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
@@ -247,7 +232,7 @@
             ready!(stream.poll_read_ready(cx))?;
             match stream.try_read(&mut space) {
                 Ok(0) => break,
-                Err(error) if error.kind() != io::ErrorKind::WouldBlock => break,
+                Err(error) if !is_transient(&error) => break,
                 _ => {}
             }
         }
--- a/crates/gateway/tests/crossings/short_reads.rs
+++ b/crates/gateway/tests/crossings/short_reads.rs
@@ -80,3 +80,14 @@
     assert_eq!(gateway.ask("look").status(), 200);
     assert_eq!(register.calls(), 1, "the watch was given up over a list that had come whole");
 }
+
+#[test]
+fn a_call_that_comes_in_two_reads_is_answered() {
+    let (gateway, _discovery) = start("short-call", &[]);
+    let mut caller = gateway.caller();
+    gateway.signal("STOP");
+    write_in_two_reads(&mut caller, b"GET /_ready HTTP/1.1\r\nHost: staff\r\n\r\n");
+    gateway.signal("CONT");
+    let answer = ottervane_rig::scripted::Http::read(&mut BufReader::new(caller)).expect("an answer");
+    assert_eq!(answer.status(), 503, "it knows no host, and says so");
+}
