Show three breaks of the terms: stops in the middle, a goodbye that drops requests, the kill

A client that stops in the middle and stays is owed its error or close within 3 s; what has been read is owed an answer; a process may be held up for 0.15 s before its write, and the kill comes 0.7 s after the longest deadline. Measured: all three fail. Half a head behind a whole request rests for 75 s; of four requests read together one is answered once the process is told to end; the last answer is due 0.1 s before the kill.

--- a/crates/control/tests/drain.rs
+++ b/crates/control/tests/drain.rs
@@ -200,3 +200,16 @@
     assert!(drain.awaits_first(at(1650)) && drain.awaits_first(at(1740)));
     assert!(!drain.awaits_first(at(1750)), "0.7 s and the protocol's slack");
 }
+
+/// The kill comes as early as the longest deadline and 0.7 s after the signal, and a process may be held up for 0.15 s between its
+/// last look at the clock and its write.
+#[test]
+fn the_last_answer_is_due_long_enough_before_the_kill_for_a_process_that_is_held_up() {
+    for longest in [MS(50), MS(300), MS(1200), MS(3000)] {
+        let mut drain = Drain::new(Terms { longest, shared: false });
+        drain.stop(MS(1000));
+        let kill = MS(1000) + longest + MS(700);
+        let due = drain.answers_by().expect("a stop has an end");
+        assert!(due + MS(150) < kill, "{longest:?}: due at {due:?}, killed at {kill:?}");
+    }
+}
--- a/crates/gateway/tests/crossings/main.rs
+++ b/crates/gateway/tests/crossings/main.rs
@@ -18,6 +18,7 @@
 mod leaving;
 mod once;
 mod short_reads;
+mod staying;
 mod stopping;
 mod watching;
 
