Give stops in the middle their 3 s, answer what was read before a close, and heed the kill

(1) read_since was cleared when a request was taken, also where half a head had come in the same read, and set anew when the answer ahead of it went: half a head rested for 75 s, or got new time from each answer. (2) Transit let a client stop for 1.5 s and one more for each 32 kB that it had brought, 33 s behind 1 MB. (3) "Connection: close" and a graceful shutdown dropped requests that had been read behind the one that was answered. (4) The last answer of a stop was due 0.1 s before the kill. Change: the framing says whether a message has begun and whether one more has come whole; a head that has begun keeps its time; a client that brings nothing for 2.5 s has stopped; an answer ends its connection only where nothing whole was read behind it, and a close that meets a request in work is left to its answer; AHEAD is 0.25 s.

--- a/crates/control/src/bodies.rs
+++ b/crates/control/src/bodies.rs
@@ -15,6 +15,9 @@
 const RATE: f64 = 32e3;
 /// See [`RATE`].
 const SPARE: Duration = Duration::from_millis(1500);
+/// A client that has brought nothing for so long while it is waited for has stopped, however much it brought before: it is owed its
+/// error within 3 s.
+pub const STOPPED: Duration = Duration::from_millis(2500);
 /// Neither side of what passes through may rest for so long while the other one waits for it.
 pub const STALL: Duration = Duration::from_secs(10);
 /// An answer that is held until it is whole may be silent for so long. What keeps the connection open after noise, or
@@ -99,7 +102,8 @@
     /// There is nothing to pass on: the client is waited for. Until when; what its host takes slowly does not count.
     pub fn await_client(&mut self, now: Duration) -> Duration {
         let since = *self.awaited.get_or_insert(now);
-        (since + SPARE + Duration::from_secs_f64(self.brought as f64 / RATE)).saturating_sub(self.waited)
+        let earned = SPARE + Duration::from_secs_f64(self.brought as f64 / RATE);
+        since + earned.saturating_sub(self.waited).min(STOPPED)
     }
 
     /// Its end has come.
--- a/crates/control/src/drain.rs
+++ b/crates/control/src/drain.rs
@@ -28,8 +28,8 @@
 pub const FIRST: Duration = Duration::from_millis(750);
 /// The process is killed so long after the longest deadline; [`AHEAD`] of that every answer has left.
 pub const KILLED: Duration = Duration::from_millis(700);
-/// See [`KILLED`].
-pub const AHEAD: Duration = Duration::from_millis(100);
+/// See [`KILLED`]: a process may be held up for 0.15 s between its last look at the clock and its write, and a busy machine is late.
+pub const AHEAD: Duration = Duration::from_millis(250);
 /// Whose listener another process holds too need not close it in haste: resting connections have until the longest deadline,
 /// held to this.
 pub const GENTLE: (Duration, Duration) = (Duration::from_millis(700), Duration::from_millis(2000));
--- a/crates/control/tests/bodies.rs
+++ b/crates/control/tests/bodies.rs
@@ -93,3 +93,24 @@
         }
     }
 }
+
+/// A client that stops is owed its error within 3 s, however much it brought before; one that keeps its rate has its time.
+#[test]
+fn a_client_that_stops_has_no_more_time_for_what_it_brought() {
+    use ottervane_control::bodies::STOPPED;
+    for brought in [0, 100, 64 << 10, 1 << 20, 31 << 20] {
+        let mut transit = Transit::new(brought);
+        let stopped = Duration::from_secs(7);
+        let due = transit.await_client(stopped);
+        assert!(due <= stopped + STOPPED, "{brought} bytes: waited for until {due:?}");
+        assert!(STOPPED + Duration::from_millis(400) < Duration::from_secs(3), "with a busy machine's delay");
+        assert!(due >= stopped + Duration::from_millis(1500), "{brought} bytes: {due:?} is no time");
+    }
+    // A piece of 64 kB every second goes on for as long as it likes.
+    let mut transit = Transit::default();
+    for second in 0..60 {
+        let now = Duration::from_secs(second);
+        assert!(transit.await_client(now) > now + Duration::from_secs(1), "{second} s");
+        transit.came(now + Duration::from_secs(1), 64_000).expect("not too long");
+    }
+}
--- a/crates/gateway/src/framing.rs
+++ b/crates/gateway/src/framing.rs
@@ -84,6 +84,16 @@
         (self.state != State::Lost).then_some(self.messages)
     }
 
+    /// Whether a message has begun and not ended, as far as it can be followed.
+    pub fn is_inside(&self) -> bool {
+        !matches!(self.state, State::First(false) | State::Lost)
+    }
+
+    /// Whether a whole message has come behind the one with this number, counted from 1.
+    pub fn is_ahead_of(&self, number: u64) -> bool {
+        self.messages().is_some_and(|messages| messages > number)
+    }
+
     /// Takes what has come, drops the extensions of chunks from it, and gives how much is left. The library allows 16 KiB of them a
     /// body, which a long one in small chunks passes; nobody reads them.
     pub fn take(&mut self, bytes: &mut [u8]) -> usize {
--- a/crates/gateway/src/listeners/http/mod.rs
+++ b/crates/gateway/src/listeners/http/mod.rs
@@ -73,6 +73,21 @@
     framing: Rc<RefCell<Framing>>,
 }
 
+impl Peer {
+    /// A request has come whole: what has been read beyond it, and comes from here on, is the next head. One that has begun already came
+    /// with the last read at the latest.
+    fn await_next_head(&self) {
+        let begun = self.framing.borrow().is_inside();
+        self.marks.read_since.set(self.marks.last_read.get().filter(|_| begun));
+    }
+
+    /// Whether a whole request has been read behind the one that is being answered. It is owed an answer too, so the connection
+    /// can't end with that one's.
+    fn has_read_ahead(&self) -> bool {
+        self.framing.borrow().is_ahead_of(self.asked.get())
+    }
+}
+
 /// The server.
 pub struct Server {
     gateway: Handle,
@@ -254,8 +269,12 @@
                 .await;
                 // A client that stays would have to be cut off at the end, or keep the next one out. Where
                 // more have come than have places, this frees one without a close that crosses a request.
-                if server.service.says_goodbye() || !room || server.crowded() || server.keeps_too_many(&peer)
-                {
+                let ends = server.service.says_goodbye()
+                    || peer.closing.get()
+                    || !room
+                    || server.crowded()
+                    || server.keeps_too_many(&peer);
+                if ends && !peer.has_read_ahead() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
                 let rests = !response.headers().contains_key(header::CONNECTION);
@@ -287,13 +306,14 @@
                     break;
                 }
             }
+            // What is being answered ends the connection with its answer.
+            if peer.idle_since.get().is_none() {
+                continue;
+            }
             // The close was decided from what had been read by then; what has come since is taken still. Not for ever: who takes no
             // answer has nothing read of it either.
             let asked = Some(peer.asked.get());
-            if peer.idle_since.get().is_none()
-                || !line.has_unread()
-                || std::mem::replace(&mut spared, asked) == asked
-            {
+            if !line.has_unread() || std::mem::replace(&mut spared, asked) == asked {
                 break;
             }
             peer.closing.set(false);
@@ -388,11 +408,13 @@
 
 impl Drop for Resting {
     fn drop(&mut self) {
-        let now = Some(Instant::now());
-        self.peer.idle_since.set(now);
+        self.peer.idle_since.set(Some(Instant::now()));
         self.server.note_rest(&self.peer, self.rests);
-        if self.peer.marks.read_since.get().is_some() {
-            self.peer.marks.read_since.set(now); // the next head has begun already
+        // A close that was decided while it was in use is decided again, should it rest.
+        self.peer.closing.set(false);
+        // A head that has begun meanwhile keeps its time: its client may take no longer because a host did.
+        if !self.peer.framing.borrow().is_inside() {
+            self.peer.marks.read_since.set(None);
         }
     }
 }
--- a/crates/gateway/src/listeners/http/request.rs
+++ b/crates/gateway/src/listeners/http/request.rs
@@ -257,7 +257,7 @@
             None => {
                 // What came behind another request has waited here for that to be answered, and its client with it.
                 let came = peer.marks.last_read.get().unwrap_or_else(Instant::now) - self.waited();
-                peer.marks.read_since.set(None); // what comes from here on is the next head
+                peer.await_next_head();
                 taken.open();
                 let give_up = came + patience;
                 if Instant::now() >= give_up {
@@ -314,7 +314,7 @@
         let passage = upload.passage();
         let taken = upload.taken().unwrap_or_else(|| Taken::new(self.service.figures.clone(), kept));
         if passage == Passage::Complete {
-            peer.marks.read_since.set(None);
+            peer.await_next_head();
             return Ok(Answered::new(decided, taken));
         }
         // The client writes on, and reads that it is over once it has ended, or has no more to say.
