Begin nothing for a client whose end may be hidden, and count the time a long body lay unread

Presence (presence.rs) is asked in place of a bare cell at the last step before a write: a request that was read more than 50 ms ago is not begun while 16 KiB or more are unread behind it; the end of a long body that may have lain unread is held back for 5 ms, and goes to its host only where its client's end has not come by then. A long body's time, and what its host is told of it, run from the last moment at which its last byte can't have come yet: the wire notes when there was nothing to read, the upload when it had waited. Not taken: reading on into memory to find the end (32 MiB a client), a larger receive buffer (another margin of the same kind).

--- a/crates/gateway/src/core/messages.rs
+++ b/crates/gateway/src/core/messages.rs
@@ -3,6 +3,7 @@
 use crate::discovery::list::List;
 use crate::exchange::{Answer, Forward};
 use crate::names::Names;
+use crate::presence::Presence;
 use hyper::header::HeaderValue;
 use hyper::StatusCode;
 use ottervane::{HostId, LoadReport, Memory, Outcome, RequestId, Settings};
@@ -55,8 +56,8 @@
     pub class: Rc<Kept>,
     /// Where the answer goes.
     pub answer: oneshot::Sender<Final>,
-    /// Cleared as soon as no answer is wanted any more.
-    pub open: Rc<Cell<bool>>,
+    /// Its client; told as soon as no answer is wanted any more.
+    pub client: Rc<Presence>,
 }
 
 /// What changes with a new file.
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -9,6 +9,7 @@
 use crate::figures::Figures;
 use crate::fleet::Fleet;
 use crate::names::Names;
+use crate::presence::Presence;
 use crate::upstream::{Attempt, End, Host, Pool, Stage, Until};
 use hyper::header::HeaderValue;
 use hyper::StatusCode;
@@ -45,7 +46,7 @@
     identity: Option<u64>,
     forward: Rc<Forward>,
     answer: Option<oneshot::Sender<Final>>,
-    open: Rc<Cell<bool>>,
+    client: Rc<Presence>,
     arrived: Instant,
     give_up: Instant,
     attempts: Vec<(Rc<Host>, Rc<Notify>, Rc<Until>)>,
@@ -58,7 +59,7 @@
 impl Entry {
     /// Gives the final answer, unless it was given. No attempt goes out from here on.
     fn finish(&mut self, answer: Final) {
-        self.open.set(false);
+        self.client.end();
         if let Some(sender) = self.answer.take() {
             let _ = sender.send(answer); // a client that has gone wants none
         }
@@ -98,10 +99,9 @@
         let (request, attempt) = (self.request, self.attempt);
         self.gateway.tell(match stage {
             Stage::Spent => Message::Spent(request),
-            Stage::Complete => {
-                let now = Instant::now();
-                self.sent.set(now);
-                Message::Complete { request, give_up: now + self.patience }
+            Stage::Complete { came } => {
+                self.sent.set(Instant::now());
+                Message::Complete { request, give_up: came + self.patience }
             }
             Stage::Started { answer, first, load } => {
                 let latency = first.saturating_duration_since(self.sent.get());
@@ -350,16 +350,16 @@
                 }
             }
             Message::Arrived(arrival) if self.turned_away(&arrival) => {
-                arrival.open.set(false);
+                arrival.client.end();
                 let advised = self.fleet.as_ref().map_or(Duration::ZERO, |fleet| fleet.keep_away());
                 let keep_away = advised.min(self.settings.max_keep_away);
                 let _ = arrival.answer.send(Final::Refused { keep_away }); // a client that has gone wants none
             }
             Message::Arrived(arrival) => {
-                let Arrival { mut request, number, forward, class, answer, open } = *arrival;
+                let Arrival { mut request, number, forward, class, answer, client } = *arrival;
                 if !self.numbers.insert(number.clone()) {
                     // A host could not tell it from a second copy of the request that has this number.
-                    open.set(false);
+                    client.end();
                     let _ = answer.send(Final::Failed(StatusCode::CONFLICT)); // a client that has gone wants none
                     return;
                 }
@@ -381,7 +381,7 @@
                     identity,
                     forward,
                     answer,
-                    open,
+                    client,
                     arrived,
                     give_up,
                     attempts,
@@ -396,7 +396,7 @@
             }
             Message::Gone(id) => {
                 if let Some(entry) = self.requests.get_mut(&id) {
-                    entry.open.set(false);
+                    entry.client.end();
                     entry.answer = None;
                     self.abandon(id);
                 }
@@ -852,7 +852,7 @@
             forward: entry.forward.clone(),
             until: until.clone(),
             write_by,
-            open: entry.open.clone(),
+            client: entry.client.clone(),
             cancel: cancel.clone(),
         };
         let (gateway, sent) = (self.handle.clone(), Instant::now());
@@ -890,8 +890,8 @@
         let number = HeaderValue::from(request.id.0);
         let class = ottervane::Class::new(Duration::from_secs(10), Duration::from_secs(30));
         let class = Rc::new(Kept { name: "look".into(), number: 0, class });
-        let open = Rc::new(Cell::new(true));
-        (Box::new(Arrival { request, number, forward, class, answer, open }), answered)
+        let client = Rc::new(Presence::unseen());
+        (Box::new(Arrival { request, number, forward, class, answer, client }), answered)
     }
 
     fn gateway() -> (Gateway, Handle) {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,6 +4,8 @@
 //! the slower side sets the pace. Neither the listeners nor what sends on need to know which it is: both have a body to poll.
 
 use crate::figures::{Ending, Taken};
+use crate::presence::Presence;
+use crate::wire::Marks;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -11,7 +13,7 @@
 use hyper::{Method, Uri};
 use ottervane_control::bodies::{Fault, Passage, Transit};
 use std::any::Any;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
 use std::pin::Pin;
 use std::rc::Rc;
@@ -20,6 +22,14 @@
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout, timeout_at, Instant, Sleep};
 
+/// What nobody has read for so long may be all that its client wrote before it left. An attempt begins with its last byte, and none may
+/// begin more than 0.1 s after its client has left.
+const UNREAD: Duration = Duration::from_millis(50);
+/// The end of such a body is held back for so long: the kernel of the client tells of its end once all before it has been read.
+const SETTLE: Duration = Duration::from_millis(5);
+/// What comes after a wait of so long came just then; what comes sooner may have lain unread.
+const AWAITED: Duration = Duration::from_millis(20);
+
 /// A client's request, as it goes on to a host.
 #[derive(Debug)]
 pub struct Forward {
@@ -61,16 +71,48 @@
     transit: RefCell<Transit>,
     /// How long the client waits, from its last byte on.
     pub patience: Duration,
+    /// Who sends it, and what has passed over its connection.
+    client: Rc<Presence>,
+    marks: Rc<Marks>,
+    /// Since when more of it is waited for, and when what came last did so after such a wait.
+    awaited: Cell<Option<Instant>>,
+    came_awaited: Cell<Option<Instant>>,
     /// Counts the request as taken, from its last byte on.
     taken: RefCell<Option<Taken>>,
 }
 
 impl Upload {
     /// A body of which `held` has come.
-    pub fn new(held: Bytes, rest: Incoming, length: Option<u64>, patience: Duration, taken: Taken) -> Upload {
+    pub fn new(
+        held: Bytes,
+        rest: Incoming,
+        length: Option<u64>,
+        patience: Duration,
+        taken: Taken,
+        client: Rc<Presence>,
+        marks: Rc<Marks>,
+    ) -> Upload {
         let transit = RefCell::new(Transit::new(held.len() as u64));
         let (held, rest, taken) = (RefCell::new(Some(held)), RefCell::new(rest), RefCell::new(Some(taken)));
-        Upload { held, rest, length, start: Instant::now(), transit, patience, taken }
+        let (awaited, came_awaited) = Default::default();
+        let start = Instant::now();
+        Upload { held, rest, length, start, transit, patience, client, marks, awaited, came_awaited, taken }
+    }
+
+    /// What has come of it last came after this moment, and with it perhaps its last byte: while nobody reads it, nobody knows.
+    pub fn came_after(&self) -> Instant {
+        let known = [self.marks.came_after.get(), self.came_awaited.get()];
+        known.into_iter().flatten().fold(self.start, Instant::max)
+    }
+
+    /// How long its client still waits at least.
+    pub fn time_left(&self) -> Duration {
+        self.patience.saturating_sub(self.came_after().elapsed())
+    }
+
+    /// Whether its last byte may have waited so long that its client has gone since.
+    fn may_be_left(&self) -> bool {
+        self.came_after().elapsed() >= UNREAD
     }
 
     /// What counts the request, for whoever ends it.
@@ -113,8 +155,9 @@
             return Poll::Ready(Some(Ok(held)));
         }
         loop {
-            let frame = ready!(Pin::new(&mut *self.rest.borrow_mut()).poll_frame(cx));
-            let data = match frame {
+            let frame = Pin::new(&mut *self.rest.borrow_mut()).poll_frame(cx);
+            let frame = self.note_wait(frame);
+            let data = match ready!(frame) {
                 None => {
                     self.note_end(&mut transit);
                     return Poll::Ready(None);
@@ -131,6 +174,17 @@
         }
     }
 
+    /// Notes how long it has been waited for, and when what was waited for came. What comes at once may have lain unread.
+    fn note_wait<T>(&self, frame: Poll<T>) -> Poll<T> {
+        let now = Instant::now();
+        if frame.is_pending() {
+            self.awaited.set(self.awaited.get().or(Some(now)));
+        } else if self.awaited.take().is_some_and(|since| now - since >= AWAITED) {
+            self.came_awaited.set(Some(now));
+        }
+        frame
+    }
+
     /// Notes the end of the body where it has come. One whose length was said ends with its last byte: nobody asks for more of it.
     fn note_end(&self, transit: &mut Transit) {
         if self.rest.borrow().is_end_stream() && transit.passage() != Passage::Complete {
@@ -152,6 +206,10 @@
         upload: Rc<Upload>,
         /// When its next piece is due.
         due: Pin<Box<Sleep>>,
+        /// Its end, while that is held back to see whether its client is there.
+        end: Option<Option<Bytes>>,
+        /// That has been seen.
+        stayed: bool,
     },
 }
 
@@ -167,7 +225,8 @@
         match payload {
             Payload::Whole(bytes) => Sending::Whole(bytes.clone()),
             Payload::Coming(upload) => {
-                Sending::Coming { upload: upload.clone(), due: Box::pin(sleep(Duration::ZERO)) }
+                let due = Box::pin(sleep(Duration::ZERO));
+                Sending::Coming { upload: upload.clone(), due, end: None, stayed: false }
             }
         }
     }
@@ -183,9 +242,29 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
         match &mut *self {
             Sending::Whole(bytes) => held_frame(bytes),
-            Sending::Coming { upload, due } => {
-                if let Poll::Ready(piece) = upload.poll(cx) {
-                    return Poll::Ready(piece.map(|piece| piece.map(Frame::data)));
+            Sending::Coming { upload, due, end, stayed } => {
+                if end.is_none() {
+                    match upload.poll(cx) {
+                        Poll::Ready(Some(Err(fault))) => return Poll::Ready(Some(Err(fault))),
+                        Poll::Ready(piece) => {
+                            let piece = piece.and_then(Result::ok);
+                            let ends = upload.passage() == Passage::Complete;
+                            if *stayed || !ends || !upload.may_be_left() {
+                                return Poll::Ready(piece.map(|data| Ok(Frame::data(data))));
+                            }
+                            due.as_mut().reset(Instant::now() + SETTLE);
+                            *end = Some(piece);
+                        }
+                        Poll::Pending => {}
+                    }
+                }
+                if end.is_some() {
+                    ready!(due.as_mut().poll(cx));
+                    if !upload.client.has_stayed() {
+                        return Poll::Ready(Some(Err(upload.transit.borrow_mut().fail(Fault::Off))));
+                    }
+                    *stayed = true;
+                    return Poll::Ready(end.take().flatten().map(|data| Ok(Frame::data(data))));
                 }
                 let mut transit = upload.transit.borrow_mut();
                 let at = upload.start + transit.await_client(upload.start.elapsed());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod limits;
 pub mod listeners;
 pub mod names;
+mod presence;
 pub mod sockets;
 mod stream;
 pub mod upstream;
--- a/crates/gateway/src/listeners/http/mod.rs
+++ b/crates/gateway/src/listeners/http/mod.rs
@@ -60,6 +60,7 @@
 /// A connection from a client, as far as the others may know.
 #[derive(Debug)]
 struct Peer {
+    line: Line,
     slot: RefCell<Slot>,
     idle_since: Cell<Option<Instant>>,
     /// How many requests it has brought.
@@ -198,9 +199,10 @@
         marks.read_since.set(now); // the first head is awaited from now on
         let (slot, idle_since) = (RefCell::new(slot), Cell::new(now));
         let (asked, resting, closing, close, cut) = Default::default();
-        let peer = Rc::new(Peer { slot, idle_since, asked, resting, closing, close, cut, marks, framing });
+        let peer =
+            Rc::new(Peer { line, slot, idle_since, asked, resting, closing, close, cut, marks, framing });
         self.peers.borrow_mut().push(peer.clone());
-        spawn_local(self.clone().serve(wire, line, peer));
+        spawn_local(self.clone().serve(wire, peer));
     }
 
     /// Has the connection closed that has been idle for longest. A close may cross a request that is on its way, so
@@ -250,7 +252,7 @@
         true
     }
 
-    async fn serve(self: Rc<Self>, wire: Wire, line: Line, peer: Rc<Peer>) {
+    async fn serve(self: Rc<Self>, wire: Wire, peer: Rc<Peer>) {
         let _leaving = Leaving { server: self.clone(), peer: peer.clone() };
         let service = service_fn(|request| {
             let (server, peer) = (self.clone(), peer.clone());
@@ -290,7 +292,7 @@
             http1::Builder::new().max_buf_size(MAX_BUFFER).serve_connection(TokioIo::new(wire), service);
         // The library does not look for the end of a connection while it has bytes of a next request, or a body that nobody asks
         // for: a client that has gone would be served all the same, and what it wrote behind begun.
-        let left = line.left();
+        let left = peer.line.left();
         let mut spared = None;
         tokio::pin!(connection, left);
         loop {
@@ -313,7 +315,7 @@
             // The close was decided from what had been read by then; what has come since is taken still. Not for ever: who takes no
             // answer has nothing read of it either.
             let asked = Some(peer.asked.get());
-            if !line.has_unread() || std::mem::replace(&mut spared, asked) == asked {
+            if !peer.line.has_unread() || std::mem::replace(&mut spared, asked) == asked {
                 break;
             }
             peer.closing.set(false);
--- a/crates/gateway/src/listeners/http/request.rs
+++ b/crates/gateway/src/listeners/http/request.rs
@@ -5,6 +5,7 @@
 use crate::exchange::{gather, Answer, Forward, Payload, Reply, Upload};
 use crate::figures::{Ending, Taken};
 use crate::limits::{MAX_BODY, MAX_LARGE};
+use crate::presence::Presence;
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -12,7 +13,6 @@
 use ottervane::{stable_hash, RequestId, Settings};
 use ottervane_control::bodies::{Fault, Passage};
 use ottervane_control::classes::{Classes, Form, NoClass, Offer};
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -133,13 +133,13 @@
 struct Owed {
     gateway: Handle,
     id: RequestId,
-    open: Rc<Cell<bool>>,
+    client: Rc<Presence>,
 }
 
 impl Drop for Owed {
     fn drop(&mut self) {
-        // An answered request is closed already. The cell is cleared first: an attempt about to be written sees it.
-        if self.open.replace(false) {
+        // An answered request is over already. The client is noted first: an attempt about to be written sees it.
+        if self.client.end() {
             self.gateway.tell(Message::Gone(self.id));
         }
     }
@@ -253,6 +253,7 @@
             return Err(Malformed::NeedlessBody);
         }
         let mut taken = Taken::new(self.service.figures.clone(), kept.clone());
+        let client = Rc::new(Presence::new(peer.line.clone()));
         let (give_up, body, upload) = match rest {
             None => {
                 // What came behind another request has waited here for that to be answered, and its client with it.
@@ -267,12 +268,20 @@
                 (give_up, Payload::Whole(held), Err(taken))
             }
             Some(rest) => {
-                let upload = Rc::new(Upload::new(held, rest, length, patience, taken));
+                let upload = Rc::new(Upload::new(
+                    held,
+                    rest,
+                    length,
+                    patience,
+                    taken,
+                    client.clone(),
+                    peer.marks.clone(),
+                ));
                 (Instant::now() + UPLOAD, Payload::Coming(upload.clone()), Ok(upload))
             }
         };
         let give_up = self.gateway.answers_by().map_or(give_up, |by| give_up.min(by));
-        let (id, open) = (self.gateway.next_request(), Rc::new(Cell::new(true)));
+        let id = self.gateway.next_request();
         // By the numbers in force now, which the gateway goes by: those of before may be another customer's. One that is not in the
         // settings has none, and nobody else's.
         let tenant = text(headers, "x-tenant-id");
@@ -294,7 +303,7 @@
         let headers = headers.iter().filter_map(passed_on).collect();
         let forward = Forward { method: head.method, uri: origin_form(&head.uri), headers, body };
         let (answer, decided) = oneshot::channel();
-        let owed = Owed { gateway: self.gateway.clone(), id, open: open.clone() };
+        let owed = Owed { gateway: self.gateway.clone(), id, client: client.clone() };
         let class = kept.clone();
         self.gateway.tell(Message::Arrived(Box::new(Arrival {
             request,
@@ -302,10 +311,10 @@
             forward,
             class,
             answer,
-            open,
+            client,
         })));
         let decided = decided.await;
-        owed.open.set(false);
+        owed.client.end();
         let decided = decided.unwrap_or(Final::Failed(StatusCode::BAD_GATEWAY));
         let upload = match upload {
             Err(taken) => return Ok(Answered::new(decided, taken)),
--- a/crates/gateway/src/upstream/attempt.rs
+++ b/crates/gateway/src/upstream/attempt.rs
@@ -3,6 +3,7 @@
 use super::{Connection, Host, Pool};
 use crate::exchange::{Answer, Forward, Payload, Piece, Reply, Sending};
 use crate::limits::{MAX_BODY, MAX_LARGE};
+use crate::presence::Presence;
 use crate::wire::Marks;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -110,7 +111,10 @@
     /// Some of a body that is not held has left.
     Spent,
     /// All of it has gone to its host.
-    Complete,
+    Complete {
+        /// Its last byte came here after this moment.
+        came: Instant,
+    },
     /// The answer is passed on while it comes.
     Started {
         /// The answer.
@@ -132,8 +136,8 @@
     pub until: Rc<Until>,
     /// The latest moment for its last byte, where it has one: an attempt before it may have run, and only up to then do hosts know that.
     pub write_by: Option<Instant>,
-    /// Whether the request still wants an answer.
-    pub open: Rc<Cell<bool>>,
+    /// Who wants the answer.
+    pub client: Rc<Presence>,
     /// Calls the attempt off.
     pub cancel: Rc<Notify>,
 }
@@ -166,7 +170,7 @@
         progress: &Progress,
         tell: &dyn Fn(Stage),
     ) -> Result<Got, Ended> {
-        let Attempt { host, forward, until, write_by, open, .. } = attempt;
+        let Attempt { host, forward, until, write_by, client, .. } = attempt;
         let is_late = || write_by.is_some_and(|by| Instant::now() >= by);
         let mut connection = match self.reuse(host).await {
             Some(connection) => connection,
@@ -177,7 +181,12 @@
                 .map_err(|ended| if is_late() { Ended::Withheld } else { ended })?,
         };
         // The request may have been answered, the host begun to drain, and the time for writing passed, while the connection came up.
-        if !open.get() || !host.takes_work.get() || is_late() || Instant::now() >= until.get() {
+        // What is unread behind a body that comes is its own.
+        let has_client = match &forward.body {
+            Payload::Whole(_) => client.may_begin(),
+            Payload::Coming(upload) => client.is_wanted() && !upload.time_left().is_zero(),
+        };
+        if !has_client || !host.takes_work.get() || is_late() || Instant::now() >= until.get() {
             self.put_back(connection, host).await;
             return Err(Ended::Withheld);
         }
@@ -211,8 +220,8 @@
             if !whole && marks.written.get() == Written::Whole {
                 whole = true;
                 self.figures.sent();
-                if matches!(forward.body, Payload::Coming(_)) {
-                    tell(Stage::Complete);
+                if let Payload::Coming(upload) = &forward.body {
+                    tell(Stage::Complete { came: upload.came_after() });
                 }
             }
             if let Poll::Ready(answered) = answering.as_mut().poll(cx) {
@@ -221,6 +230,8 @@
             // A host that takes no more of a body that is not held has never had it whole.
             if let (Payload::Coming(upload), false, None) = (&forward.body, whole, marks.read_since.get()) {
                 let Some(due) = upload.host_due() else { return Poll::Pending };
+                // Its client may have written the last byte long ago: it is owed its answer by then.
+                let due = due.min(upload.came_after() + upload.patience);
                 if late.deadline() != due {
                     late.as_mut().reset(due);
                 }
@@ -411,7 +422,8 @@
     *request.headers_mut() = forward.headers.clone();
     let wait = match &forward.body {
         Payload::Whole(_) => until.saturating_duration_since(Instant::now()),
-        Payload::Coming(upload) => upload.patience, // from its last byte on
+        // From its last byte on, which may have come already and be unread.
+        Payload::Coming(upload) => upload.time_left(),
     };
     let wait = wait.as_micros();
     if let Ok(wait) = HeaderValue::from_str(&format!("{wait}u")) {
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -281,7 +281,7 @@
             forward: Rc::new(forward),
             until: Until::new(Instant::now() + Duration::from_secs(10)),
             write_by: None,
-            open: Rc::new(Cell::new(true)),
+            client: Rc::new(crate::presence::Presence::unseen()),
             cancel: Rc::default(),
         };
         let (end, _host) = tokio::join!(pool.attempt(&attempt, &|_| {}), host);
@@ -323,7 +323,7 @@
             forward: Rc::new(forward),
             until: Until::new(Instant::now() + Duration::from_secs(10)),
             write_by: None,
-            open: Rc::new(Cell::new(true)),
+            client: Rc::new(crate::presence::Presence::unseen()),
             cancel: Rc::default(),
         };
         let host = async {
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -20,6 +20,9 @@
 /// What the other side still writes when this one has said its last is read, and let go, for so long: a close with bytes unread is a
 /// reset, and that may take the last answer with it before it is read.
 const LINGER: Duration = Duration::from_secs(1);
+/// With so many bytes unread behind a request, more may be on its way than the kernel takes here, and the end of the connection
+/// behind that: a quarter of the least that it takes at first. Who sends one request at a time has none.
+const MAY_HIDE_AN_END: u64 = 16 << 10;
 /// It is read in pieces of this size.
 const LET_GO: usize = 4 << 10;
 
@@ -30,6 +33,10 @@
     pub read_since: Cell<Option<Instant>>,
     /// When anything was last read or seen waiting, cleared or not.
     pub last_read: Cell<Option<Instant>>,
+    /// When there was last nothing to be read.
+    empty_at: Cell<Option<Instant>>,
+    /// What was last read has come after this moment: there was nothing to be read then.
+    pub came_after: Cell<Option<Instant>>,
     /// How much of a request has gone to the kernel, where what is sent is followed.
     pub written: Cell<Written>,
     /// When its last byte went.
@@ -76,6 +83,19 @@
     pub fn has_unread(&self) -> bool {
         matches!(peek(&self.0), Ok(n) if n > 0)
     }
+
+    /// Whether the other side has ended its sending, or the connection is broken, with nothing before that left to be read.
+    pub fn has_ended(&self) -> bool {
+        match peek(&self.0) {
+            Ok(unread) => unread == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
+    /// Whether so much is unread that the other side's end may stand behind it, unseen.
+    pub fn may_hide_an_end(&self) -> bool {
+        rustix::io::ioctl_fionread(&*self.0).is_ok_and(|unread| unread >= MAY_HIDE_AN_END)
+    }
 }
 
 fn peek(stream: &TcpStream) -> io::Result<usize> {
@@ -196,8 +216,12 @@
         if read.is_pending() && self.marks.idle.get() && self.has_news() {
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
+        if read.is_pending() {
+            self.marks.empty_at.set(Some(Instant::now()));
+        }
         if buffer.filled().len() > before {
             let now = Some(Instant::now());
+            self.marks.came_after.set(self.marks.empty_at.get());
             self.marks.read_since.set(self.marks.read_since.get().or(now));
             self.marks.last_read.set(now);
         }
