Date hosts' starts by what was seen beside the wall clock, and end repeats 0.15 s early

(1) Clock tied the wall clock to the monotonic one at start, and a host's since_ms was converted with it alone: an hour ahead hid every restart, an hour behind made every host with a start cold for an hour. Change: control/host_start.rs dates a start once, between two bounds that no wall clock moves: starts differ by what discovery's dates differ and none lies ahead; one that appears on a word of discovery came after the word before it, less 2 s. At a process's first list a start is as late as the newest one allows. Repeats: the decision module ends a window 0.15 s early (the wire goes by that), so a window that is no longer allows none. Not taken: tying the clock anew to the newest start of all, which one wrong entry would undo.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod drain;
 pub mod execution;
 pub mod handover;
+pub mod host_start;
 pub mod rewatch;
 pub mod storm;
--- a/crates/gateway/src/core/messages.rs
+++ b/crates/gateway/src/core/messages.rs
@@ -138,6 +138,8 @@
         watch: u64,
         /// What it said.
         list: List,
+        /// When discovery had last said anything before that, if it had.
+        heard_before: Option<Instant>,
     },
     /// What another process knew is to be gone on from.
     Recall(Memory),
@@ -173,6 +175,7 @@
     hosts_up: Rc<Cell<bool>>,
     connections: Rc<Cell<bool>>,
     heard: Rc<Cell<bool>>,
+    last_word: Rc<Cell<Option<Instant>>>,
     answers_by: Rc<Cell<Option<Instant>>>,
     clock: Clock,
 }
@@ -181,7 +184,7 @@
     /// A handle, and what is told through it and its clones.
     pub fn new() -> (Handle, mpsc::UnboundedReceiver<Message>) {
         let (sender, messages) = mpsc::unbounded_channel();
-        let (requests, hosts_up, connections, heard, answers_by) = Default::default();
+        let (requests, hosts_up, connections, heard, last_word, answers_by) = Default::default();
         (
             Handle {
                 messages: sender,
@@ -189,6 +192,7 @@
                 hosts_up,
                 connections,
                 heard,
+                last_word,
                 answers_by,
                 clock: Clock::new(),
             },
@@ -239,6 +243,11 @@
         self.heard.get()
     }
 
+    /// Discovery says something now; gives when it last did before.
+    pub fn note_word(&self) -> Option<Instant> {
+        self.last_word.replace(Some(Instant::now()))
+    }
+
     /// Notes that it has.
     pub fn note_heard(&self) {
         self.heard.set(true);
@@ -259,13 +268,14 @@
         self.clock.instant(time)
     }
 
-    /// The time on the module's clock of a Unix time in milliseconds; none for long ago.
-    pub fn started(&self, unix_ms: u64) -> Option<Duration> {
-        self.clock.started(unix_ms)
+    /// The time on the module's clock of a Unix time in milliseconds, by the wall clock as it was at the start; none for longer ago
+    /// than that has a time for.
+    pub fn by_wall_clock(&self, unix_ms: u64) -> Option<Duration> {
+        self.clock.by_wall_clock(unix_ms)
     }
 }
 
-/// The module's clock: monotonic, tied once to the Unix clock that all machines share.
+/// The module's clock: monotonic, tied once to this machine's wall clock, which may be wrong.
 #[derive(Clone, Copy, Debug)]
 struct Clock {
     start: Instant,
@@ -291,9 +301,8 @@
         }
     }
 
-    /// The time of a Unix time in milliseconds; none for long ago.
-    fn started(&self, unix_ms: u64) -> Option<Duration> {
+    fn by_wall_clock(&self, unix_ms: u64) -> Option<Duration> {
         let time = (BEFORE_START + Duration::from_millis(unix_ms)).checked_sub(self.unix)?;
-        (unix_ms > 0 && !time.is_zero()).then_some(time)
+        (!time.is_zero()).then_some(time)
     }
 }
--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -17,6 +17,7 @@
 use ottervane::{Action, Balancer, Event, HostId, HostState, LoadReport, Outcome, RequestId, Settings};
 use ottervane_control::bodies::Passage;
 use ottervane_control::classes::Kept;
+use ottervane_control::host_start::{self, Evidence};
 use ottervane_control::rewatch::{self, Rewatch};
 use ottervane_control::storm::{Answered, Arriving, Storm, StormSettings, Terms};
 use ottervane_fleet::audit::Kind;
@@ -40,6 +41,18 @@
 /// The figures of the hosts are taken this often; they may be half a second late.
 const FIGURES: Duration = Duration::from_millis(250);
 
+/// A wall clock may be off by an hour. What starts later than that by it is no start.
+const WALL_CLOCK_OFF: Duration = Duration::from_secs(2 * 3600);
+
+/// What the starts of hosts in one list are dated by.
+struct Starts {
+    now: Duration,
+    /// The newest start of all, in Unix milliseconds.
+    newest_ms: u64,
+    /// When discovery had last spoken before this list.
+    heard_before: Option<Duration>,
+}
+
 /// A request that is open or has an attempt out.
 struct Entry {
     number: HeaderValue,
@@ -136,6 +149,8 @@
     rewatch: Rewatch,
     hosts: Vec<Rc<Host>>,
     listed: Vec<ottervane::Host>,
+    /// When each last started, as discovery dates it; 0 for long ago.
+    since_ms: Vec<u64>,
     host_ids: FxHashMap<String, HostId>,
     free_ids: Vec<HostId>,
     requests: FxHashMap<RequestId, Entry>,
@@ -173,6 +188,7 @@
             rewatch: Rewatch::default(),
             hosts: Vec::new(),
             listed: Vec::new(),
+            since_ms: Vec::new(),
             host_ids: FxHashMap::default(),
             free_ids: Vec::new(),
             requests: FxHashMap::default(),
@@ -446,12 +462,12 @@
                 }
             }
             // What a watch said before it was ended may wait here still: it is no news of the present discovery.
-            Message::Hosts { watch, list } if watch == self.watch => {
+            Message::Hosts { watch, list, heard_before } if watch == self.watch => {
                 self.handle.note_heard();
                 if let Some(silent) = self.rewatch.heard(self.handle.time(Instant::now())) {
                     info!(address = %self.discovery, after = ?silent, "discovery: news are pushed again");
                 }
-                self.learn(list);
+                self.learn_after(heard_before, list);
             }
             Message::DiscoveryFailed { watch, why, quiet } if watch == self.watch => {
                 self.watch_failed(&why, quiet)
@@ -581,9 +597,14 @@
         }
     }
 
-    /// Takes a list of hosts in, or what has changed of it. What is wrong with it costs nothing but itself, and is told
-    /// once until it changes.
+    /// Takes in a list that is no word of discovery's: the one that the configuration holds.
     pub fn learn(&mut self, list: List) {
+        self.learn_after(None, list);
+    }
+
+    /// Takes a list of hosts in, or what has changed of it, after discovery's word of `heard_before`. What is wrong with it costs
+    /// nothing but itself, and is told once until it changes.
+    fn learn_after(&mut self, heard_before: Option<Instant>, list: List) {
         let faults = list.faults(self.version, 1 + FAULTS_TOLD);
         let old = matches!(faults.first(), Some(Fault::Old { .. }));
         if !faults.is_empty() && faults != self.faults {
@@ -604,7 +625,8 @@
             self.hosts.iter().for_each(|h| h.takes_work.set(false));
             self.listed.iter_mut().for_each(|h| h.state = HostState::Removed);
         }
-        let news: Vec<ottervane::Host> = list.endpoints.iter().map(|e| self.host(e)).collect();
+        let starts = self.starts(&list, heard_before);
+        let news: Vec<ottervane::Host> = list.endpoints.iter().map(|e| self.host(e, &starts)).collect();
         for host in &news {
             match self.listed.get_mut(host.id.0 as usize) {
                 Some(listed) => *listed = host.clone(),
@@ -705,13 +727,45 @@
         });
     }
 
+    /// What the starts in a list are dated by.
+    fn starts(&self, list: &List, heard_before: Option<Instant>) -> Starts {
+        let now = self.handle.time(Instant::now());
+        let listed = list.endpoints.iter().map(|e| e.since_ms);
+        let possible =
+            |unix_ms: &u64| self.handle.by_wall_clock(*unix_ms).is_some_and(|at| at <= now + WALL_CLOCK_OFF);
+        let newest_ms = listed.chain(self.since_ms.iter().copied()).filter(possible).max().unwrap_or(0);
+        Starts { now, newest_ms, heard_before: heard_before.map(|at| self.handle.time(at)) }
+    }
+
+    /// When a host started that discovery says to be up since this Unix time. One that is known to have started then keeps its date.
+    fn started(&mut self, id: HostId, since_ms: u64, starts: &Starts) -> Option<Duration> {
+        let at = id.0 as usize;
+        self.since_ms.resize(self.since_ms.len().max(at + 1), 0);
+        let before = std::mem::replace(&mut self.since_ms[at], since_ms);
+        if since_ms == 0 {
+            return None; // long ago
+        }
+        if let Some(listed) = self.listed.get(at).filter(|_| before == since_ms) {
+            return listed.started;
+        }
+        Some(host_start::started(Evidence {
+            now: starts.now,
+            by_wall_clock: self.handle.by_wall_clock(since_ms),
+            before_newest: Duration::from_millis(starts.newest_ms.saturating_sub(since_ms)),
+            heard_before: starts.heard_before,
+        }))
+    }
+
     /// An entry in the module's terms. A host keeps its number by its name for as long as it is known; the module tells
     /// by the name's hash that a number has passed to another.
-    fn host(&mut self, entry: &Endpoint) -> ottervane::Host {
+    fn host(&mut self, entry: &Endpoint, starts: &Starts) -> ottervane::Host {
         let known = self.host_ids.get(&entry.name).copied();
         let id = known.or_else(|| self.free_ids.pop()).unwrap_or(HostId(self.hosts.len() as u32));
         if known.is_none() {
             self.host_ids.insert(entry.name.clone(), id);
+            if let Some(since_ms) = self.since_ms.get_mut(id.0 as usize) {
+                *since_ms = 0; // another host's
+            }
             let host = Rc::new(Host { id, address: Cell::new(None), takes_work: Cell::new(false) });
             match self.hosts.get_mut(id.0 as usize) {
                 Some(gone) => *gone = host,
@@ -738,7 +792,7 @@
             state,
             zone: self.names.zone(&entry.zone, id.0),
             cell: entry.group.unwrap_or(u32::MAX - id.0),
-            started: self.handle.started(entry.since_ms),
+            started: self.started(id, entry.since_ms, starts),
             kind: self.names.kind(&entry.kind, id.0),
             weight: entry.weight,
             ..ottervane::Host::new(id, &entry.name)
@@ -1037,8 +1091,9 @@
         let _inside = local.enter();
         let (mut gateway, _handle) = gateway();
         gateway.learn(started_at("a", 1, true, -9000));
+        let heard = Some(Instant::now());
         for (index, name, from_now) in [(2, "a", -3600), (3, "a", -3599), (4, "b", -3602)] {
-            gateway.learn(started_at(name, index, false, from_now));
+            gateway.learn_after(heard, started_at(name, index, false, from_now));
             let age = age(&gateway, name).expect("a start in the past");
             assert!(age < Duration::from_secs(10), "version {index}: taken for {age:?} old");
         }
--- a/crates/gateway/src/discovery/watch.rs
+++ b/crates/gateway/src/discovery/watch.rs
@@ -101,12 +101,13 @@
             while let Some(word) = lists.word()? {
                 heard.set(Instant::now());
                 due = heard.get() + SILENCE;
+                let heard_before = gateway.note_word();
                 match word {
-                    Word::List(list) => gateway.tell(Message::Hosts { watch, list }),
+                    Word::List(list) => gateway.tell(Message::Hosts { watch, list, heard_before }),
                     // Each call is owed an answer, also where nothing has changed.
                     Word::Empty if first => {
                         let list = List { index: since, ..List::default() };
-                        gateway.tell(Message::Hosts { watch, list });
+                        gateway.tell(Message::Hosts { watch, list, heard_before });
                     }
                     Word::Empty => {}
                 }
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -42,6 +42,8 @@
 const PACE_GAIN: f64 = 0.02; // slow, or it follows the queues of the moment in place of the hosts
 const ENOUGH: f64 = 20.0; // least requests that the rates of served and lost average: few come at size
 const HOLD_S: f64 = 0.015; // a request for which no host is ready is looked at again after so many seconds
+/// A process may be held up for so long between its last look at the clock and its write: a repeat's window ends that much sooner.
+const HELD_UP_S: f64 = 0.15;
 /// A change counts as told so long after discovery had it and could be reached, and a call is answered within this, its turn included:
 /// what is left of the first is for noticing and for the wait before the call, which is this at least.
 const TOLD_S: f64 = 6.0;
@@ -487,11 +489,12 @@
             && self.write_by(req).is_none_or(|by| now < by)
     }
 
-    /// Until when another attempt may be written, where one before may have run: as long as its host's group knows the key.
+    /// Until when another attempt may be written, where one before may have run: as long as its host's group knows the key, however
+    /// late the write comes after the last look at the clock. A window that is no longer than that allows none.
     fn write_by(&self, req: &Request) -> Option<f64> {
         let known = match self.set.classes[req.class].effect {
             Effect::Safe => return None,
-            Effect::Keyed { window, .. } => window.as_secs_f64(),
+            Effect::Keyed { window, .. } => window.as_secs_f64() - HELD_UP_S,
             Effect::Unsafe => f64::NEG_INFINITY,
         };
         let ran = req.attempts.iter().filter(|a| !a.never_ran);
