--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -33,7 +33,8 @@
     let period = time(kind.report_every, build.even());
     let late = time(kind.report_late, build.even());
     let noise = kind.spec.report.noise;
-    NodeSpec { speed, report: ReportSpec { period, late, noise }, ..kind.spec.clone() }
+    let mean_work = script.mean_work();
+    NodeSpec { speed, report: ReportSpec { period, late, noise }, mean_work, ..kind.spec.clone() }
 }
 
 /// All nodes, up and warm.
--- a/crates/rig/src/model/node.rs
+++ b/crates/rig/src/model/node.rs
@@ -173,6 +173,8 @@
     started: Option<f64>,
     worked: f64,
     budget: Budget,
+    /// The most that a window of its earlier starts has held, as [`Budget::peak`] has it.
+    cold_peak: f64,
     choke: Option<Choke>,
     choke_seen: f64,
     keys: Keys,
@@ -196,6 +198,12 @@
     out: Vec<Output>,
 }
 
+/// What a node of this kind may be sent while it is cold.
+fn budget(spec: &NodeSpec) -> Budget {
+    Budget::new(spec.fall_at, spec.fall_over.as_secs_f64(), spec.mean_work)
+        .granting_chance(spec.grants_chance)
+}
+
 impl Node {
     /// A node that has been up and warm for long.
     pub fn new(number: u64, spec: NodeSpec, draws: Draws, memories: Memories, now: Duration) -> Node {
@@ -213,7 +221,8 @@
             now: t,
             started: None,
             worked: 0.0,
-            budget: Budget::new(spec.fall_at, spec.fall_over.as_secs_f64()),
+            budget: budget(&spec),
+            cold_peak: 0.0,
             choke: spec.choke.map(|c| Choke::new(c, t)),
             choke_seen: t,
             keys: Keys::new(spec.key_places, spec.key_for.as_secs_f64()),
@@ -648,6 +657,11 @@
         }
     }
 
+    /// The most that it was sent while it was cold, as a part of what it may be sent in a window; 0 where it never was cold.
+    pub fn cold_peak(&self) -> f64 {
+        self.cold_peak.max(self.budget.peak())
+    }
+
     // ---- what the script does to it ------------------------------------------------------------------------
 
     fn end_all(&mut self, state: State) {
@@ -693,7 +707,8 @@
         }
         self.end_all(State::Up);
         (self.started, self.worked) = (Some(self.now), 0.0);
-        self.budget = Budget::new(self.spec.fall_at, self.spec.fall_over.as_secs_f64());
+        self.cold_peak = self.cold_peak();
+        self.budget = budget(&self.spec);
         self.choke = self.spec.choke.map(|c| Choke::new(c, self.now));
         self.keys = Keys::new(self.spec.key_places, self.spec.key_for.as_secs_f64());
     }
--- a/crates/rig/src/model/spec.rs
+++ b/crates/rig/src/model/spec.rs
@@ -87,6 +87,10 @@
     pub fall_at: f64,
     /// ... sent over this time makes it fall over.
     pub fall_over: Duration,
+    /// Whether it bears what chance adds to that, as the operators' terms grant it; by default it bears nothing more.
+    pub grants_chance: bool,
+    /// The work of a mean request, in seconds of a core of speed 1.
+    pub mean_work: f64,
     /// Whether and when it chokes.
     pub choke: Option<ChokeSpec>,
     /// Whether and how it pauses.
@@ -132,6 +136,8 @@
             warm_by: WarmBy::Time,
             fall_at: 2.5,
             fall_over: Duration::from_secs(2),
+            grants_chance: false,
+            mean_work: 0.05,
             choke: None,
             pause: None,
             error_rate: 0.0,
--- a/crates/rig/src/replay.rs
+++ b/crates/rig/src/replay.rs
@@ -183,6 +183,7 @@
         fresh: None,
         back_s: back(&day.script, &tallies),
         dispersion: ledger.dispersion(day.script.lasts),
+        cold_peak: None,
         lateness: Some(lateness),
         timeline: day.timeline.borrow().clone(),
     }
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -137,6 +137,9 @@
     pub back_s: Option<f64>,
     /// How evenly attempts came to nodes ([`Ledger::dispersion`]): 1 is chance alone.
     pub dispersion: Option<f64>,
+    /// The most that a cold node was sent in a window by all gateways, as a part of what it may be sent; none where none was cold.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub cold_peak: Option<f64>,
     /// How late the machine was.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub lateness: Option<Lateness>,
--- a/crates/rig/src/script/defaults.rs
+++ b/crates/rig/src/script/defaults.rs
@@ -81,6 +81,8 @@
         warm_by: WarmBy::Time,
         fall_at: 2.5,
         fall_over: ms(2000),
+        grants_chance: false,
+        mean_work: 0.0, // by the classes
         choke: None,
         pause: Some(PauseSpec { every: ms(7000), lasts: ms(20), grows: 0.5 }),
         error_rate: 0.0005,
--- a/crates/rig/src/script/mod.rs
+++ b/crates/rig/src/script/mod.rs
@@ -372,12 +372,17 @@
             capacity += kind.share * f64::from(kind.spec.cores) * (kind.speed.0 + kind.speed.1) / 2.0;
             shares += kind.share;
         }
+        capacity / shares * self.fleet.nodes as f64 / self.mean_work()
+    }
+
+    /// The work of a mean request, in seconds of a core of speed 1.
+    pub fn mean_work(&self) -> f64 {
         let (mut work, mut asked) = (0.0, 0.0);
         for class in &self.classes {
             work += class.share * class.work.as_secs_f64();
             asked += class.share;
         }
-        capacity / shares * self.fleet.nodes as f64 / (work / asked)
+        work / asked
     }
 
     /// A tenant's quota, in requests a second over all gateways.
--- a/crates/rig/src/script/read.rs
+++ b/crates/rig/src/script/read.rs
@@ -188,6 +188,7 @@
     s.warm_by = t.or("warm_by", s.warm_by);
     s.fall_at = t.within("fall_at", 0.1..=1e6, s.fall_at);
     s.fall_over = t.within("fall_over", ms(10)..=LONGEST, s.fall_over);
+    s.grants_chance = t.or("grants_chance", s.grants_chance);
     s.error_rate = t.within("error_rate", SHARE, s.error_rate);
     s.connections = t.within("connections", 1..=1_000_000, u64::from(s.connections)) as u32;
     s.handshake = t
--- a/crates/rig/src/simulate/mod.rs
+++ b/crates/rig/src/simulate/mod.rs
@@ -953,6 +953,7 @@
             fresh,
             back_s: back(self.script, &tallies),
             dispersion: self.ledger.dispersion(self.script.lasts),
+            cold_peak: self.nodes.iter().map(Node::cold_peak).reduce(f64::max).filter(|peak| *peak > 0.0),
             lateness: None,
             timeline: self.timeline,
         };
--- a/crates/rig/tests/at_size.rs
+++ b/crates/rig/tests/at_size.rs
@@ -86,3 +86,22 @@
     assert!(with < without, "{with} with the kill, {without} without: nothing was killed");
     assert!(with > 0.8, "{with}");
 }
+
+/// Nodes that restart, some twice, while most gateways start anew, under the operators' terms of what a cold node bears: whatever the
+/// number of gateways, what those that were told send pushes none over.
+#[test]
+fn cold_nodes_are_sent_what_they_bear_by_few_gateways_and_by_many() {
+    let text = include_str!("../scripts/slow-start.toml");
+    for (gateways, killed) in [(2, 1), (30, 21), (100, 70), (350, 245)] {
+        let text = text.replace("gateways = 100", &format!("gateways = {gateways}"));
+        let text = text.replace("killed = 70", &format!("killed = {killed}"));
+        let (report, _) = simulate(&script(&text), 1, None, None).expect("its settings hold");
+        assert!(report.breaches.is_empty(), "{gateways} gateways: {:?}", report.breaches);
+        let peak = report.cold_peak.expect("nodes were cold");
+        // Beyond a hundred, those that have not been told yet send too much alone; the rule counts the others.
+        assert!(
+            peak > 0.3 && (peak < 1.0 || gateways > 100),
+            "{gateways} gateways: {peak} of what one may be sent"
+        );
+    }
+}
