--- a/crates/gateway/tests/crossings/closing.rs
+++ b/crates/gateway/tests/crossings/closing.rs
@@ -79,3 +79,41 @@
         held(&gateway, 0);
     }
 }
+
+/// An answer that says no length ends with its connection: one that ended is forwarded, one that was reset passes as whole nowhere.
+#[test]
+fn an_answer_with_no_length_is_whole_where_its_connection_ended_and_not_where_it_was_reset() {
+    for length in [0, 200, 30_000, 200_000] {
+        for resets in [false, true] {
+            let host = Agent::start(move |_, mut stream| {
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nX-Kind: endless\r\n\r\n");
+                let _ = stream.write_all(&vec![b'x'; length]);
+                if resets {
+                    sleep(Duration::from_millis(30)); // so that what was written has come
+                    let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                }
+            });
+            let entries: Vec<Value> =
+                (0..6).map(|n| entry(&format!("s-{n}"), &host.address, n, "active")).collect();
+            let name = format!("no-length-{length}-{resets}");
+            let (gateway, _discovery) = start(&name, &entries);
+            let whole = (0..6).filter(|_| reads_whole(&gateway, length)).count();
+            assert_eq!(whole, if resets { 0 } else { 6 }, "{length} bytes, reset: {resets}");
+        }
+    }
+}
+
+/// Whether a request is answered with 200 and this many bytes, to a clear end.
+fn reads_whole(gateway: &Gateway, length: usize) -> bool {
+    let mut client = TcpStream::connect(&gateway.address).expect("a connection");
+    client.set_read_timeout(Some(LONG)).expect("a time-out");
+    let text = request("once").replace("Host:", "Connection: close\r\nHost:");
+    client.write_all(text.as_bytes()).expect("written");
+    let mut answer = Vec::new();
+    if client.read_to_end(&mut answer).is_err() || !answer.starts_with(b"HTTP/1.1 200") {
+        return false;
+    }
+    let text = String::from_utf8_lossy(&answer).to_ascii_lowercase();
+    let ends = text.contains("content-length:") || answer.ends_with(b"0\r\n\r\n");
+    ends && answer.iter().filter(|byte| **byte == b'x').count() >= length
+}
--- a/crates/rig/src/scripted.rs
+++ b/crates/rig/src/scripted.rs
@@ -627,6 +627,19 @@
         line.trim().trim_end_matches(" kB").parse().expect("a number")
     }
 
+    /// The time that its processors have spent on it so far.
+    pub fn cpu(&self) -> Duration {
+        // The first figure is the time on a processor, in nanoseconds, of the one thread that does the work.
+        let text = std::fs::read_to_string(format!("/proc/{}/schedstat", self.child.id())).expect("a figure");
+        let spent = text.split_whitespace().next().and_then(|ns| ns.parse().ok());
+        Duration::from_nanos(spent.expect("a number"))
+    }
+
+    /// How many descriptors it has open.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("a folder").count()
+    }
+
     /// A client with a connection of its own.
     pub fn connect(&self) -> Client {
         let stream = TcpStream::connect(&self.address).expect("a connection");
