Show that a new discovery is asked with no margin before what it tells counts

Cause, read: rediscover leaves the wait for the call of before as it is, up to 3.6 s (4 s after a start), or draws such a wait anew: 6.0 s in all, nothing left for a process that is held up.

--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -1084,6 +1084,32 @@
         gateway.handle.time(Instant::now()).checked_sub(started)
     }
 
+    /// What a new discovery has to tell counts 4 s after the signal, a call may wait 2.4 s for its turn there, and nothing new goes to a
+    /// host 2 s after it is told to drain: the call is due before the sum of these, whether a watch was on or a call was waited for.
+    #[tokio::test]
+    async fn a_new_discovery_is_asked_in_time_also_while_the_old_one_was_waited_for() {
+        let local = LocalSet::new();
+        let _inside = local.enter();
+        for seed in 0..200 {
+            let (mut gateway, _handle) = gateway();
+            let settings = Settings { ask_within: Some(Duration::from_secs(10)), ..gateway.settings.clone() };
+            gateway.balancer = Balancer::new(settings.clone(), seed);
+            gateway.settings = settings;
+            gateway.learn(list("s-1"));
+            if seed % 2 == 0 {
+                gateway.subscribe();
+            }
+            gateway.timers.clear();
+            gateway.decide(Event::DiscoveryFailed { quiet: Duration::ZERO }); // the next call is seconds away
+            let moved = Instant::now();
+            gateway.rediscover(SocketAddr::from(([127, 0, 0, 1], 2)));
+            let asks = gateway.timers.iter().filter(|Reverse((_, timer))| *timer == Timer::Module(0));
+            let next = asks.map(|Reverse((at, _))| *at).min().expect("a call to come");
+            let wait = next.saturating_duration_since(moved);
+            assert!(wait <= Duration::from_millis(3050), "seed {seed}: asked after {wait:?}");
+        }
+    }
+
     /// The wall clock is an hour ahead: a host that was seen to restart a moment ago looks an hour old by it.
     #[tokio::test]
     async fn a_restart_that_was_seen_is_not_hidden_by_a_clock_that_is_ahead() {
