Ask a new discovery within 3 s of the signal, whatever call was waited for

Change: the loop tells the decision module that discovery has moved (Event::DiscoveryMoved), which asks within 3 s, or when it was to ask already where that is sooner; a timer that a sooner call has taken the place of asks nothing. 3.0 s and 2.4 s for the call's turn leave 0.6 s of the 4 s and the grace of 2 s. Not taken: 1.6 s, so that the call itself is answered within the 4 s: all gateways of a fleet are reloaded at once, and a discovery that can take all calls in 2 to 8 s would turn more of them away.

--- a/crates/gateway/src/core/mod.rs
+++ b/crates/gateway/src/core/mod.rs
@@ -580,11 +580,11 @@
         if address != self.discovery {
             (self.discovery, self.version) = (address, 0);
             self.rewatch.turned();
-            let ended = self.end_watch();
+            self.end_watch();
             if self.pushed() {
                 self.subscribe();
-            } else if ended {
-                self.decide(Event::DiscoveryFailed { quiet: Duration::ZERO });
+            } else {
+                self.decide(Event::DiscoveryMoved);
             }
         }
     }
--- a/crates/rig/src/plain.rs
+++ b/crates/rig/src/plain.rs
@@ -44,7 +44,9 @@
     pub fn handle(&mut self, now: Duration, event: Event<'_>, actions: &mut Vec<Action>) {
         match event {
             Event::Hosts { full, hosts } => self.learn(full, hosts, actions),
-            Event::DiscoveryFailed { .. } => actions.push(Action::Wake { after: ASK_AGAIN, token: ASK }),
+            Event::DiscoveryFailed { .. } | Event::DiscoveryMoved => {
+                actions.push(Action::Wake { after: ASK_AGAIN, token: ASK })
+            }
             Event::Timer { token: ASK } => actions.push(Action::Subscribe),
             Event::Request(r) if r.class < self.settings.classes.len() => {
                 let (until, attempts, out, ran) = (r.give_up_at, 0, None, Vec::new());
--- a/src/api.rs
+++ b/src/api.rs
@@ -325,6 +325,8 @@
         /// For how long it had said nothing, where a subscription broke; a call's time is known.
         quiet: Duration,
     },
+    /// Discovery is another from now on, and nothing of it has been heard: it is to be asked soon, whatever was waited for.
+    DiscoveryMoved,
     /// A client's request: one final answer is owed from here on.
     Request(Request),
     /// The body of a [`Request::coming`] has begun to leave: what is gone can't be sent again.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -49,6 +49,10 @@
 const TOLD_S: f64 = 6.0;
 const ANSWER_S: f64 = 2.4;
 const SPREAD_S: f64 = 0.3;
+/// What a new discovery has to tell counts 4 s after the signal, and drains have 2 s of grace: a call that is spread over this leaves
+/// 0.6 s beside its answer.
+const MOVED_S: f64 = 3.0;
+const TIMER_GRAIN_S: f64 = 1e-3; // a timer may seem to come so much too soon, by rounding
 const ASK: u64 = 0; // the timer token of discovery upkeep
 const CLOSE: u64 = 1 << 62; // the timer token of closing on drains
 
@@ -232,6 +236,7 @@
     asking: bool, // discovery: an answer is awaited; calls failed in a row, below 0 before the first list
     asks_failed: i32,
     asked: f64,    // when it was asked last
+    ask_due: f64,  // when it is asked next; without end where no call is waited for
     closing: bool, // A timer for closing on drains is set
     ended: Ended,
 }
@@ -259,6 +264,7 @@
             asking: false,
             asks_failed: -1,
             asked: 0.0,
+            ask_due: f64::INFINITY,
             closing: false,
             ended: Ended { host: HostId(u32::MAX), at: f64::NEG_INFINITY, usual: 0.0, last: 0.0 },
         }
@@ -288,8 +294,9 @@
             Event::Hosts { full, hosts } => self.learn(now, full, hosts, actions),
             Event::DiscoveryFailed { quiet } => {
                 let quiet = if self.asking { now - self.asked } else { quiet.as_secs_f64() };
-                self.ask_later(quiet, actions);
+                self.ask_later(now, quiet, actions);
             }
+            Event::DiscoveryMoved => self.ask_within(now, MOVED_S, actions),
             Event::Request(r) => self.arrive(now, &r, actions),
             // What follows is between the host and the client: the module is through with it.
             Event::Started { request, attempt, latency } => {
@@ -314,8 +321,10 @@
                 })
             }
             Event::Abandoned { request } => self.with(now, request, actions, |_, req, _| req.open = false),
+            // One that a sooner call has taken the place of.
+            Event::Timer { token: ASK } if now + TIMER_GRAIN_S < self.ask_due => {}
             Event::Timer { token: ASK } => {
-                (self.asking, self.asked) = (true, now);
+                (self.asking, self.asked, self.ask_due) = (true, now, f64::INFINITY);
                 actions.push(Action::Subscribe);
             }
             Event::Timer { token: CLOSE } => {
@@ -392,13 +401,24 @@
 
     /// Asks discovery after a while, later with each failure in a row, but soon enough for what it may have had to tell since it
     /// fell `quiet`. The wait is spread from next to nothing, so that many gateways do not come together.
-    fn ask_later(&mut self, quiet: f64, actions: Out) {
+    fn ask_later(&mut self, now: f64, quiet: f64, actions: Out) {
         let Some(within) = self.set.ask_within else { return };
         let most = within.as_secs_f64() * (0.1 * 2f64.powi(self.asks_failed.clamp(1, 3) + 1)).min(0.8);
         let most =
             if self.asks_failed < 0 { most } else { most.min((TOLD_S - ANSWER_S - quiet).max(SPREAD_S)) };
-        (self.asks_failed, self.asking) = (self.asks_failed + 1, false);
-        actions.push(wake(most * self.rng.f64(), ASK));
+        self.asks_failed += 1;
+        self.ask_due = f64::INFINITY;
+        self.ask_within(now, most, actions);
+    }
+
+    /// Asks discovery at some moment of the next `most` seconds, or when it was to be asked, where that is sooner.
+    fn ask_within(&mut self, now: f64, most: f64, actions: Out) {
+        self.asking = false;
+        let at = now + most * self.rng.f64();
+        if self.set.ask_within.is_some() && at < self.ask_due {
+            self.ask_due = at;
+            actions.push(wake(at - now, ASK));
+        }
     }
 
     fn upkeep(&mut self, now: f64) {
--- a/src/balancer/knowledge.rs
+++ b/src/balancer/knowledge.rs
@@ -23,7 +23,7 @@
 impl Balancer {
     pub(super) fn learn(&mut self, now: f64, full: bool, list: &[api::Host], actions: Out) {
         if self.asks_failed < 0 {
-            self.ask_later(0.0, actions); // first list: spread the gateways' first calls
+            self.ask_later(now, 0.0, actions); // first list: spread the gateways' first calls
         } else if std::mem::take(&mut self.asking) {
             self.asks_failed = 0;
         }
