--- /dev/null
+++ b/crates/gateway/src/core/endpoints.rs
@@ -0,0 +1,232 @@
+//! The endpoints as discovery lists them: their numbers, addresses and starts, and what a list or a delta changes of them.
+
+use super::Gateway;
+use crate::discovery::list::{Endpoint, Fault, List, Status};
+use crate::upstream::Host;
+use ottervane::{Event, HostId, HostState};
+use ottervane_control::host_start::{self, Evidence};
+use ottervane_fleet::wire::Gone;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+use tracing::{debug, info, warn};
+
+/// So many faults of one list are told, each with its entry.
+const FAULTS_TOLD: usize = 3;
+
+/// A wall clock may be off by an hour. What starts later than that by it is no start.
+const WALL_CLOCK_OFF: Duration = Duration::from_secs(2 * 3600);
+
+/// What the starts of hosts in one list are dated by.
+struct Starts {
+    now: Duration,
+    /// The newest start of all, in Unix milliseconds.
+    newest_ms: u64,
+    /// When discovery had last spoken before this list.
+    heard_before: Option<Duration>,
+}
+
+impl Gateway {
+    /// Takes in a list that is no word of discovery's: the one that the configuration holds.
+    pub fn learn(&mut self, list: List) {
+        self.learn_after(None, list);
+    }
+
+    /// Takes a list of hosts in, or what has changed of it, after discovery's word of `heard_before`. What is wrong with it costs
+    /// nothing but itself, and is told once until it changes.
+    pub(super) fn learn_after(&mut self, heard_before: Option<Instant>, list: List) {
+        let faults = list.faults(self.version, 1 + FAULTS_TOLD);
+        let old = matches!(faults.first(), Some(Fault::Old { .. }));
+        if !faults.is_empty() && faults != self.faults {
+            let told: Vec<_> = faults.iter().take(FAULTS_TOLD).map(Fault::to_string).collect();
+            let more = if faults.len() > FAULTS_TOLD { ", and more" } else { "" };
+            warn!(address = %self.discovery, version = list.index, "discovery: {}{more}", told.join("; "));
+        }
+        self.faults = faults;
+        if old {
+            // The call that brought it is answered, with no news: the module would wait for its answer for ever.
+            return self.decide(Event::Hosts { full: false, hosts: &[] });
+        }
+        self.version = list.index;
+        let before = self.departing(&list);
+        self.free_the_gone();
+        if list.snapshot {
+            // What a whole list lacks is gone.
+            self.hosts.iter().for_each(|h| h.takes_work.set(false));
+            self.listed.iter_mut().for_each(|h| h.state = HostState::Removed);
+        }
+        let starts = self.starts(&list, heard_before);
+        let news: Vec<ottervane::Host> = list.endpoints.iter().map(|e| self.host(e, &starts)).collect();
+        for host in &news {
+            match self.listed.get_mut(host.id.0 as usize) {
+                Some(listed) => *listed = host.clone(),
+                None => self.listed.push(host.clone()),
+            }
+        }
+        if let Some(storm) = &mut self.storm {
+            let up = self.listed.iter().filter(|h| h.state == HostState::Up);
+            let up: Vec<_> = up.map(|h| ottervane_control::storm::Host { started: h.started }).collect();
+            storm.hosts(self.handle.time(Instant::now()), &up);
+        }
+        for e in &list.endpoints {
+            debug!(host = e.address, name = e.name, zone = e.zone, kind = e.kind, status = ?e.status, since = e.since_ms, "listed");
+        }
+        debug!(index = list.index, whole = list.snapshot, entries = list.endpoints.len(), "list");
+        self.pool.keep(|id| self.hosts.get(id.0 as usize).is_some_and(|h| h.takes_work.get()));
+        self.handle.set_hosts_up(self.hosts.iter().any(|h| h.takes_work.get()));
+        self.tell_departed(&before);
+        self.decide(Event::Hosts { full: list.snapshot, hosts: &news });
+    }
+
+    /// Where the fleet is to be told: the hosts that a list is about to change and that take work, by name.
+    fn departing(&self, list: &List) -> Vec<(String, HostId)> {
+        let Some(fleet) = &self.fleet else { return Vec::new() };
+        fleet.lists(list.index);
+        let up = |id: HostId| self.listed.get(id.0 as usize).is_some_and(|h| h.state == HostState::Up);
+        let taking = |(name, id): (&String, &HostId)| up(*id).then(|| (name.clone(), *id));
+        if list.snapshot {
+            return self.host_ids.iter().filter_map(taking).collect();
+        }
+        let named = list.endpoints.iter().filter_map(|e| self.host_ids.get_key_value(&e.name));
+        named.filter_map(taking).collect()
+    }
+
+    /// Tells the fleet which of these leave or are gone now.
+    fn tell_departed(&self, before: &[(String, HostId)]) {
+        let Some(fleet) = &self.fleet else { return };
+        let state = |id: &HostId| self.listed.get(id.0 as usize).map_or(HostState::Removed, |h| h.state);
+        let departed = before.iter().filter(|(_, id)| state(id) != HostState::Up);
+        let departed = departed.map(|(name, id)| (name.clone(), state(id) == HostState::Removed));
+        fleet.listed(self.version, departed.collect());
+    }
+
+    /// Others have a newer list: discovery is asked again, on a connection of its own.
+    pub(super) fn catch_up(&mut self, current: u64) {
+        if current <= self.version {
+            return;
+        }
+        info!(own = self.version, current, "discovery: other gateways have a newer list; it is asked again");
+        let watched = self.end_watch();
+        if self.pushed() {
+            self.subscribe();
+        } else if watched {
+            self.decide(Event::DiscoveryFailed { quiet: Duration::ZERO });
+        }
+    }
+
+    /// Newer lists than the one held say that hosts leave or are gone: nothing new goes there.
+    pub(super) fn turn_from(&mut self, gone: &[Gone]) {
+        let Some(fleet) = self.fleet.clone() else { return };
+        let mut news = Vec::new();
+        for name in fleet.told_gone(gone) {
+            let Some(id) = self.host_ids.get(&name) else { continue };
+            let Some(listed) = self.listed.get_mut(id.0 as usize) else { continue };
+            if listed.state == HostState::Up {
+                listed.state = HostState::Draining;
+                news.push(listed.clone());
+                if let Some(host) = self.hosts.get(id.0 as usize) {
+                    host.takes_work.set(false);
+                }
+            }
+        }
+        if news.is_empty() {
+            return;
+        }
+        info!(
+            hosts = news.len(),
+            own = self.version,
+            "other gateways were told that hosts leave or are gone; nothing new goes there"
+        );
+        self.pool.keep(|id| self.hosts.get(id.0 as usize).is_some_and(|h| h.takes_work.get()));
+        self.handle.set_hosts_up(self.hosts.iter().any(|h| h.takes_work.get()));
+        self.decide(Event::Hosts { full: false, hosts: &news });
+    }
+
+    /// Frees the numbers of the hosts that are gone and that no open request has been sent to. Hosts come and go for
+    /// ever: with a number for each that ever was, every table and every walk over one would grow for ever.
+    fn free_the_gone(&mut self) {
+        let (hosts, listed, free) = (&self.hosts, &self.listed, &mut self.free_ids);
+        self.host_ids.retain(|_, id| {
+            let at = id.0 as usize;
+            let gone = listed.get(at).is_some_and(|h| h.state == HostState::Removed)
+                && hosts.get(at).is_some_and(|h| Rc::strong_count(h) == 1);
+            if gone {
+                free.push(*id);
+            }
+            !gone
+        });
+    }
+
+    /// What the starts in a list are dated by.
+    fn starts(&self, list: &List, heard_before: Option<Instant>) -> Starts {
+        let now = self.handle.time(Instant::now());
+        let listed = list.endpoints.iter().map(|e| e.since_ms);
+        let possible =
+            |unix_ms: &u64| self.handle.by_wall_clock(*unix_ms).is_some_and(|at| at <= now + WALL_CLOCK_OFF);
+        let newest_ms = listed.chain(self.since_ms.iter().copied()).filter(possible).max().unwrap_or(0);
+        Starts { now, newest_ms, heard_before: heard_before.map(|at| self.handle.time(at)) }
+    }
+
+    /// When a host started that discovery says to be up since this Unix time. One that is known to have started then keeps its date.
+    fn started(&mut self, id: HostId, since_ms: u64, starts: &Starts) -> Option<Duration> {
+        let at = id.0 as usize;
+        self.since_ms.resize(self.since_ms.len().max(at + 1), 0);
+        let before = std::mem::replace(&mut self.since_ms[at], since_ms);
+        if since_ms == 0 {
+            return None; // long ago
+        }
+        if let Some(listed) = self.listed.get(at).filter(|_| before == since_ms) {
+            return listed.started;
+        }
+        Some(host_start::started(Evidence {
+            now: starts.now,
+            by_wall_clock: self.handle.by_wall_clock(since_ms),
+            before_newest: Duration::from_millis(starts.newest_ms.saturating_sub(since_ms)),
+            heard_before: starts.heard_before,
+        }))
+    }
+
+    /// An entry in the module's terms. A host keeps its number by its name for as long as it is known; the module tells
+    /// by the name's hash that a number has passed to another.
+    fn host(&mut self, entry: &Endpoint, starts: &Starts) -> ottervane::Host {
+        let known = self.host_ids.get(&entry.name).copied();
+        let id = known.or_else(|| self.free_ids.pop()).unwrap_or(HostId(self.hosts.len() as u32));
+        if known.is_none() {
+            self.host_ids.insert(entry.name.clone(), id);
+            if let Some(since_ms) = self.since_ms.get_mut(id.0 as usize) {
+                *since_ms = 0; // another host's
+            }
+            let host = Rc::new(Host { id, address: Cell::new(None), takes_work: Cell::new(false) });
+            match self.hosts.get_mut(id.0 as usize) {
+                Some(gone) => *gone = host,
+                None => self.hosts.push(host),
+            }
+        }
+        let host = &self.hosts[id.0 as usize];
+        let address = entry.address.parse().ok();
+        if address.is_some() {
+            host.address.set(address);
+        }
+        if let Some(fleet) = &self.fleet {
+            fleet.know_host(id, &entry.name);
+        }
+        let overruled = || self.fleet.as_ref().is_some_and(|fleet| fleet.overrules(&entry.name));
+        let state = match entry.status {
+            Status::Active if host.address.get().is_some() && overruled() => HostState::Draining,
+            Status::Active if host.address.get().is_some() => HostState::Up,
+            Status::Active | Status::Left => HostState::Removed,
+            Status::Leaving | Status::Unknown => HostState::Draining,
+        };
+        host.takes_work.set(state == HostState::Up);
+        ottervane::Host {
+            state,
+            zone: self.names.zone(&entry.zone, id.0),
+            cell: entry.group.unwrap_or(u32::MAX - id.0),
+            started: self.started(id, entry.since_ms, starts),
+            kind: self.names.kind(&entry.kind, id.0),
+            weight: entry.weight,
+            ..ottervane::Host::new(id, &entry.name)
+        }
+    }
+}
