--- a/crates/gateway/tests/crossings/crowded.rs
+++ b/crates/gateway/tests/crossings/crowded.rs
@@ -83,3 +83,24 @@
     );
     wait_for("its end", || too_few.try_wait().expect("a state").is_some_and(|status| !status.success()));
 }
+
+/// A connection waits to be accepted while every place is taken, and its client's time runs: the host is told no more than is left.
+#[test]
+fn a_request_that_waited_to_be_accepted_has_no_more_time_for_it() {
+    let host = ScriptedNode::start(|_| Reply::ok("ok"));
+    let discovery = ScriptedRegister::start();
+    let gateway = Gateway::start(&PROGRAM, "crowded-time", &discovery, 48, &crowd(&host));
+    // All places and those beyond. One that has said nothing makes room after half a second.
+    let first = Instant::now();
+    let silent: Vec<_> = (0..18).map(|_| gateway.connect()).collect();
+    let mut client = gateway.connect();
+    client.write(request("look").replace("40000m", "2000m").as_bytes());
+    let waits = Duration::from_millis(500).saturating_sub(first.elapsed());
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    let seen = host.seen.lock().expect("lock").pop().expect("an attempt");
+    let told = seen.header("x-timeout").and_then(|text| text.strip_suffix('u')?.parse().ok());
+    let told = told.map(Duration::from_micros).expect("a time");
+    let left = Duration::from_secs(2) - waits;
+    assert!(told <= left + Duration::from_millis(150), "{told:?} of {left:?} at the most");
+    drop(silent);
+}
