Count the time that a connection waited to be accepted against its first request

Change: the server notes since when connections may have waited (no place, or accept failing) until accept is seen to have nothing; what lay there at the first look of such a connection may have come at the beginning of that. Its time, what its host is told, and the answer go by that. Not taken: the kernel's own count of the time since the last segment, which needs a call that no library here offers safely.

--- a/crates/gateway/src/listeners/http/mod.rs
+++ b/crates/gateway/src/listeners/http/mod.rs
@@ -65,6 +65,8 @@
 #[derive(Debug)]
 struct Peer {
     line: Line,
+    /// It may have waited to be accepted since then, where it may have waited at all.
+    queued_since: Option<Instant>,
     slot: RefCell<Slot>,
     idle_since: Cell<Option<Instant>>,
     /// How many requests it has brought.
@@ -79,6 +81,12 @@
 }
 
 impl Peer {
+    /// The earliest moment at which what was last read may have come, where it may have waited to be accepted with its connection: it was
+    /// there at the first look.
+    fn waited_since(&self) -> Option<Instant> {
+        self.queued_since.filter(|_| self.marks.came_after.get().is_none())
+    }
+
     /// A request has come whole: what has been read beyond it, and comes from here on, is the next head. One that has begun already came
     /// with the last read at the latest.
     fn await_next_head(&self) {
@@ -104,6 +112,8 @@
     resting: Cell<usize>,
     may_rest: usize,
     left: Notify,
+    /// Since when connections may wait to be accepted, where they may.
+    queue_since: Cell<Option<Instant>>,
     service: Rc<Service>,
     pulse: Cell<Instant>,
     stalled: Cell<Duration>,
@@ -121,6 +131,7 @@
             resting: Cell::new(0),
             may_rest: budget.resting,
             left: Notify::new(),
+            queue_since: Cell::default(),
             service,
             pulse: Cell::new(Instant::now()),
             stalled: Cell::default(),
@@ -139,17 +150,26 @@
         let mut failing = false; // said once, until one succeeds
         loop {
             let Some(slot) = self.clients.take().or_else(|| self.overflow.take()) else {
+                self.note_queue(true);
                 self.close_idle();
                 // Nothing tells when a new connection has had its time.
                 let _ = timeout(CLOSE_AGAIN, self.left.notified()).await;
                 continue;
             };
-            let stream = match listener.accept().await {
+            let accepted = poll_fn(|cx| {
+                let accepted = listener.poll_accept(cx);
+                if accepted.is_pending() {
+                    self.note_queue(false);
+                }
+                accepted
+            });
+            let stream = match accepted.await {
                 Ok((stream, _)) => {
                     failing = false;
                     stream
                 }
                 Err(error) => {
+                    self.note_queue(true);
                     let failure = accept_failure(&error);
                     if failure == AcceptFailure::OneConnection {
                         yield_now().await;
@@ -177,6 +197,7 @@
     pub async fn accept_rest(self: &Rc<Self>, listener: TcpListener, by: Instant) {
         while Instant::now() < by {
             let Some(slot) = self.clients.take().or_else(|| self.overflow.take()) else {
+                self.note_queue(true);
                 self.close_idle();
                 let _ = timeout(CLOSE_AGAIN, self.left.notified()).await;
                 continue;
@@ -202,6 +223,12 @@
         warn!("stopping: no place became free for the connections that still waited; they are closed");
     }
 
+    /// Notes that connections may wait to be accepted from now on, or that none does.
+    fn note_queue(&self, may_wait: bool) {
+        let since = self.queue_since.get().or_else(|| Some(Instant::now()));
+        self.queue_since.set(since.filter(|_| may_wait));
+    }
+
     fn welcome(self: &Rc<Self>, stream: TcpStream, slot: Slot) {
         self.service.accepted();
         self.gateway.connected();
@@ -212,9 +239,21 @@
         let now = Some(Instant::now());
         marks.read_since.set(now); // the first head is awaited from now on
         let (slot, idle_since) = (RefCell::new(slot), Cell::new(now));
+        let queued_since = self.queue_since.get();
         let (asked, resting, closing, close, cut) = Default::default();
-        let peer =
-            Rc::new(Peer { line, slot, idle_since, asked, resting, closing, close, cut, marks, framing });
+        let peer = Rc::new(Peer {
+            queued_since,
+            line,
+            slot,
+            idle_since,
+            asked,
+            resting,
+            closing,
+            close,
+            cut,
+            marks,
+            framing,
+        });
         self.peers.borrow_mut().push(peer.clone());
         spawn_local(self.clone().serve(wire, peer));
     }
--- a/crates/gateway/src/listeners/http/request.rs
+++ b/crates/gateway/src/listeners/http/request.rs
@@ -257,7 +257,8 @@
         let (give_up, body, upload) = match rest {
             None => {
                 // What came behind another request has waited here for that to be answered, and its client with it.
-                let came = peer.marks.last_read.get().unwrap_or_else(Instant::now) - self.waited();
+                let read = peer.marks.last_read.get().unwrap_or_else(Instant::now) - self.waited();
+                let came = peer.waited_since().map_or(read, |since| read.min(since));
                 peer.await_next_head();
                 taken.open();
                 let give_up = came + patience;
