Hold a first request's time by when its connection was accepted, not by the first look at it

Change: what is read within 50 ms of the accept may have waited with its connection; the soak tells when and on what connection a host was told too much.

--- a/crates/gateway/src/listeners/http/mod.rs
+++ b/crates/gateway/src/listeners/http/mod.rs
@@ -56,6 +56,8 @@
 const CLOSE_AGAIN: Duration = Duration::from_millis(20);
 /// Who found no room is told to come back after so long, where the settings allow it.
 const ROOM_AGAIN: Duration = Duration::from_secs(1);
+/// What is read so soon after its connection was accepted may have waited in the kernel with it.
+const CAME_WITH_IT: Duration = Duration::from_millis(50);
 /// Wait after a failed accept.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(5);
 /// The pulse of the event loop: what waits to be read while no pulse comes has waited for as long.
@@ -65,6 +67,7 @@
 #[derive(Debug)]
 struct Peer {
     line: Line,
+    accepted: Instant,
     /// It may have waited to be accepted since then, where it may have waited at all.
     queued_since: Option<Instant>,
     slot: RefCell<Slot>,
@@ -82,9 +85,11 @@
 
 impl Peer {
     /// The earliest moment at which what was last read may have come, where it may have waited to be accepted with its connection: it was
-    /// there at the first look.
+    /// there as soon as that was looked at. Whether the first look finds it hangs on the poller, which has yet to tell of a new
+    /// connection.
     fn waited_since(&self) -> Option<Instant> {
-        self.queued_since.filter(|_| self.marks.came_after.get().is_none())
+        let came_with_it = |read: Instant| read <= self.accepted + CAME_WITH_IT;
+        self.queued_since.filter(|_| self.marks.last_read.get().is_some_and(came_with_it))
     }
 
     /// A request has come whole: what has been read beyond it, and comes from here on, is the next head. One that has begun already came
@@ -239,10 +244,11 @@
         let now = Some(Instant::now());
         marks.read_since.set(now); // the first head is awaited from now on
         let (slot, idle_since) = (RefCell::new(slot), Cell::new(now));
-        let queued_since = self.queue_since.get();
+        let (accepted, queued_since) = (Instant::now(), self.queue_since.get());
         let (asked, resting, closing, close, cut) = Default::default();
         let peer = Rc::new(Peer {
             queued_since,
+            accepted,
             line,
             slot,
             idle_since,
--- a/crates/gateway/tests/soak/clients.rs
+++ b/crates/gateway/tests/soak/clients.rs
@@ -77,7 +77,7 @@
     if leaves {
         let _ = connection.reader.get_ref().shutdown(std::net::Shutdown::Both);
     }
-    let ask = Ask { class, written, patience, ended: Instant::now(), outcome, process };
+    let ask = Ask { class, written, patience, ended: Instant::now(), outcome, process, reused };
     world.asks.lock().expect("lock").insert(id, ask);
     goes_on
 }
--- a/crates/gateway/tests/soak/world.rs
+++ b/crates/gateway/tests/soak/world.rs
@@ -55,8 +55,9 @@
     pub patience: Duration,
     pub ended: Instant,
     pub outcome: Outcome,
-    /// Which process it was sent to.
+    /// Which process it was sent to, and whether on a connection that had been used before.
     pub process: u64,
+    pub reused: bool,
 }
 
 /// A span in which a host was listed as leaving.
@@ -73,6 +74,7 @@
     /// The longest deadline, and the window of keyed repeats.
     pub longest: Duration,
     pub window: Duration,
+    pub begun: Instant,
     pub over: AtomicBool,
     /// Idle clients fill the descriptors: a new connection may be closed unread.
     pub crowd: bool,
@@ -93,6 +95,7 @@
             seed,
             longest,
             window,
+            begun: Instant::now(),
             over: AtomicBool::new(false),
             crowd: seed % 5 == 4,
             next: AtomicU64::new(1),
@@ -176,7 +179,11 @@
             }
             let left = (ask.written + ask.patience).saturating_duration_since(attempt.first);
             if attempt.told > left + Duration::from_millis(150) + slack {
-                broken(format!("attempt {n} tells its host {:?} of {left:?} that are left", attempt.told));
+                let (reused, after) = (ask.reused, attempt.first.saturating_duration_since(ask.written));
+                broken(format!(
+                    "attempt {n}, {after:?} after the request (reused: {reused}, at {:?}), tells its host {:?} of {left:?} that are left",
+                    ask.written.duration_since(self.begun), attempt.told
+                ));
             }
             for earlier in &tries[..n] {
                 if earlier.ended.is_none_or(|ended| ended > attempt.whole + slack) {
