Carry a stall of the process over to the connections that it accepts right after

Cause, traced with the soak, six at a time in debug builds so that gateways starve: a connection accepted in one turn of the loop and read in the next had lost what the pulse knew of the stall before (accepted 0.15 ms before its read, no queue noted, its request 0.8 s old). Change: the stall is noted with the connection.

--- a/crates/gateway/src/listeners/http/mod.rs
+++ b/crates/gateway/src/listeners/http/mod.rs
@@ -244,7 +244,11 @@
         let now = Some(Instant::now());
         marks.read_since.set(now); // the first head is awaited from now on
         let (slot, idle_since) = (RefCell::new(slot), Cell::new(now));
-        let (accepted, queued_since) = (Instant::now(), self.queue_since.get());
+        let accepted = Instant::now();
+        // What a process finds that was stopped or starved has waited for as long, also where it is read in a later turn.
+        let stalled_since =
+            Some(self.waited()).filter(|waited| !waited.is_zero()).map(|waited| accepted - waited);
+        let queued_since = [self.queue_since.get(), stalled_since].into_iter().flatten().min();
         let (asked, resting, closing, close, cut) = Default::default();
         let peer = Rc::new(Peer {
             queued_since,
