--- a/crates/rig/src/model/budget.rs
+++ b/crates/rig/src/model/budget.rs
@@ -13,7 +13,7 @@
     window: f64,
     sent: VecDeque<(f64, f64)>,
     sum: f64,
-    /// The work of a mean request, and the most that a window has held as a part of what [`allowance`] grants.
+    /// The work of a mean request, and the most that a window has held as a part of what `allowance` grants.
     mean: f64,
     peak: f64,
     /// Whether it is overspent beyond its allowance only.
@@ -37,12 +37,12 @@
         Budget { multiple, window, sent: VecDeque::new(), sum: 0.0, mean, peak: 0.0, grants_chance: false }
     }
 
-    /// The same, overspent beyond its [`allowance`] only, as the operators' terms have it; else chance is granted nothing.
+    /// The same, overspent beyond its allowance only, as the operators' terms have it; else chance is granted nothing.
     pub fn granting_chance(self, grants_chance: bool) -> Budget {
         Budget { grants_chance, ..self }
     }
 
-    /// The most that any window has held so far, as a part of its [`allowance`].
+    /// The most that any window has held so far, as a part of its allowance.
     pub fn peak(&self) -> f64 {
         self.peak
     }
