testbed: give each test run a folder of its own

What was seen: bodies::slow_large_bodies_are_transferred_beyond_the_class_deadline failed once, as the digest of the request that the endpoint saw last was not that of the upload. Callers saw nothing: the fault is the tests' own.

Cause: all runs of a test program in one target directory wrote the same configuration files and folders, so a gateway could start with the file of another run and send its requests to that run's endpoint.

Evidence: large-body endpoints print each request that they receive.

--- a/crates/gateway/tests/crossings/descriptor_limits.rs
+++ b/crates/gateway/tests/crossings/descriptor_limits.rs
@@ -64,7 +64,7 @@
         let mode = std::os::unix::fs::PermissionsExt::from_mode(0o755);
         std::fs::set_permissions(&script, mode).expect("cannot make the script executable");
         let path: &'static str = Box::leak(script.display().to_string().into_boxed_str());
-        Program { path, ..PROGRAM }
+        Program { path, ..*PROGRAM }
     };
     let endpoint = ScriptedEndpoint::start(|_| Reply::ok("ok"));
     let discovery = ScriptedDiscovery::start();
--- a/crates/gateway/tests/day_by_day/hot_restart.rs
+++ b/crates/gateway/tests/day_by_day/hot_restart.rs
@@ -12,7 +12,7 @@
 impl SharedListener {
     /// Creates a listener and an empty folder of its own.
     fn new(name: &str) -> SharedListener {
-        let folder = format!("{}/place-{name}", env!("CARGO_TARGET_TMPDIR"));
+        let folder = format!("{}/place-{name}", PROGRAM.folder);
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).expect("cannot create the directory");
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind failed");
--- a/crates/gateway/tests/day_by_day/main.rs
+++ b/crates/gateway/tests/day_by_day/main.rs
@@ -5,10 +5,11 @@
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, LazyLock};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 use weldworks_testbed::large_bodies::{send_request, Framing, LargeBody, LargeBodyEndpoint};
+use weldworks_testbed::run_folder::own_run_folder;
 use weldworks_testbed::scripted::{
     config, refusing, request, wait_for, write_config, Gateway, Program, Reply, ScriptedDiscovery,
     ScriptedEndpoint, LONG,
@@ -19,8 +20,10 @@
 mod hot_restart;
 mod settings;
 
-const PROGRAM: Program =
-    Program { path: env!("CARGO_BIN_EXE_weldworks-gateway"), folder: env!("CARGO_TARGET_TMPDIR") };
+static PROGRAM: LazyLock<Program> = LazyLock::new(|| {
+    let folder = own_run_folder(env!("CARGO_TARGET_TMPDIR"));
+    Program { path: env!("CARGO_BIN_EXE_weldworks-gateway"), folder }
+});
 
 fn config_with_admin_api(discovery: &ScriptedDiscovery, endpoints: &[Value]) -> Value {
     let mut config = config(&discovery.address.to_string(), 256, endpoints);
--- a/crates/gateway/tests/fleet_cases.rs
+++ b/crates/gateway/tests/fleet_cases.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
+use weldworks_testbed::run_folder::own_run_folder;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_weldworks-gateway");
 const TIMEOUT: Duration = Duration::from_secs(60);
@@ -93,7 +94,7 @@
 
 impl Fleet {
     fn new(name: &str) -> Fleet {
-        let folder = format!("{}/fleet-{name}", env!("CARGO_TARGET_TMPDIR"));
+        let folder = format!("{}/fleet-{name}", own_run_folder(env!("CARGO_TARGET_TMPDIR")));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).expect("cannot create the directory");
         let fleet = Fleet { folder, relays: (0..4).map(|_| Relay::new()).collect() };
--- a/crates/gateway/tests/fleet_off.rs
+++ b/crates/gateway/tests/fleet_off.rs
@@ -5,6 +5,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
+use weldworks_testbed::run_folder::own_run_folder;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_weldworks-gateway");
 const FLEET: &str = "[fleet]\nname = \"f\"\ngateway = \"a\"\nlisten = \"127.0.0.1:0\"\n\
@@ -13,7 +14,7 @@
     [[fleet.peer]]\nname = \"c\"\naddress = \"127.0.0.1:3\"\ncouncil = true\n";
 
 fn write_file(name: &str, text: &str) -> String {
-    let path = format!("{}/{name}", env!("CARGO_TARGET_TMPDIR"));
+    let path = format!("{}/{name}", own_run_folder(env!("CARGO_TARGET_TMPDIR")));
     std::fs::write(&path, text).expect("file write failed");
     path
 }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -4,16 +4,19 @@
 use serde_json::{json, Value};
 use std::io::Read;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, LazyLock};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
+use weldworks_testbed::run_folder::own_run_folder;
 use weldworks_testbed::scripted::{
     config, entry, refusing, request, settings, spawn_gateway, wait_for, write_config, Client, Gateway,
     HttpMessage, Program, Reply, ScriptedDiscovery, ScriptedEndpoint,
 };
 
-const PROGRAM: Program =
-    Program { path: env!("CARGO_BIN_EXE_weldworks-gateway"), folder: env!("CARGO_TARGET_TMPDIR") };
+static PROGRAM: LazyLock<Program> = LazyLock::new(|| {
+    let folder = own_run_folder(env!("CARGO_TARGET_TMPDIR"));
+    Program { path: env!("CARGO_BIN_EXE_weldworks-gateway"), folder }
+});
 
 /// Clients that fill the gateway's client capacity with requests waiting for an endpoint, as no endpoint is listed.
 fn fill_client_capacity(gateway: &Gateway) -> Vec<Client> {
--- a/crates/gateway/tests/growth.rs
+++ b/crates/gateway/tests/growth.rs
@@ -2,14 +2,18 @@
 //! Processor time is checked in optimised builds only: `cargo test --release --test growth -- --nocapture`.
 
 use serde_json::{json, Value};
+use std::sync::LazyLock;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
+use weldworks_testbed::run_folder::own_run_folder;
 use weldworks_testbed::scripted::{
     config, wait_for, Gateway, Program, Reply, ScriptedDiscovery, ScriptedEndpoint,
 };
 
-const PROGRAM: Program =
-    Program { path: env!("CARGO_BIN_EXE_weldworks-gateway"), folder: env!("CARGO_TARGET_TMPDIR") };
+static PROGRAM: LazyLock<Program> = LazyLock::new(|| {
+    let folder = own_run_folder(env!("CARGO_TARGET_TMPDIR"));
+    Program { path: env!("CARGO_BIN_EXE_weldworks-gateway"), folder }
+});
 
 /// The usual number of listed endpoints.
 const USUAL_ENDPOINTS: usize = 200;
--- a/crates/gateway/tests/replay.rs
+++ b/crates/gateway/tests/replay.rs
@@ -6,11 +6,12 @@
 use weldworks_testbed::live::gateways::Program;
 use weldworks_testbed::replay::{replay, ReplayError};
 use weldworks_testbed::report::Report;
+use weldworks_testbed::run_folder::own_run_folder;
 use weldworks_testbed::script::Script;
 
 fn run_script(name: &str, text: &str, settings: Option<PathBuf>) -> Report {
     let script = Script::parse(name, text).unwrap_or_else(|problems| panic!("{problems}"));
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("replay-{name}"));
+    let folder = PathBuf::from(own_run_folder(env!("CARGO_TARGET_TMPDIR"))).join(format!("replay-{name}"));
     std::fs::create_dir_all(&folder).expect("cannot create the directory");
     let program = Program { path: PathBuf::from(env!("CARGO_BIN_EXE_weldworks-gateway")), folder, settings };
     let (report, _) =
@@ -122,7 +123,7 @@
 /// half of the endpoints are killed, and every client retries three times.
 #[test]
 fn keeps_the_rules_with_storm_control_in_a_retry_storm() {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let folder = PathBuf::from(own_run_folder(env!("CARGO_TARGET_TMPDIR")));
     let file = folder.join("storm.toml");
     std::fs::write(&file, "[storm]\nconfirm = \"100ms\"\nwindow = \"500ms\"\n").expect("file write failed");
     let text = format!(
@@ -139,7 +140,7 @@
 #[test]
 fn a_stopped_run_ends_its_gateways() {
     let script = Script::parse("stop", "name = \"stop\"\nlasts = \"60s\"").expect("invalid script");
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("replay-stop");
+    let folder = PathBuf::from(own_run_folder(env!("CARGO_TARGET_TMPDIR"))).join("replay-stop");
     std::fs::create_dir_all(&folder).expect("cannot create the directory");
     let file = folder.join("gateway-0.json");
     let program =
--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -13,14 +13,17 @@
 use serde_json::{json, Value};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, LazyLock, Mutex};
 use std::thread::{scope, sleep};
 use std::time::{Duration, Instant};
+use weldworks_testbed::run_folder::own_run_folder;
 use weldworks_testbed::scripted::{config, write_config, Gateway, Program, ScriptedDiscovery};
 use workload_history::{Drain, RunState};
 
-const PROGRAM: Program =
-    Program { path: env!("CARGO_BIN_EXE_weldworks-gateway"), folder: env!("CARGO_TARGET_TMPDIR") };
+static PROGRAM: LazyLock<Program> = LazyLock::new(|| {
+    let folder = own_run_folder(env!("CARGO_TARGET_TMPDIR"));
+    Program { path: env!("CARGO_BIN_EXE_weldworks-gateway"), folder }
+});
 
 const ENDPOINT_COUNT: usize = 6;
 const GATEWAY_COUNT: usize = 2;
--- a/crates/testbed/src/large_bodies.rs
+++ b/crates/testbed/src/large_bodies.rs
@@ -140,6 +140,12 @@
         })
     }
 
+    /// What tells this message apart from others: its start line, request id, and the length and digest of its body.
+    pub fn summary(&self) -> String {
+        let request_id = self.header("x-request-id").unwrap_or("none");
+        format!("{:?} id={request_id} length={} digest={}", self.first, self.length, self.digest)
+    }
+
     /// The status of a response; 0 if there is none.
     pub fn status(&self) -> u16 {
         self.first.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
@@ -265,6 +271,7 @@
                 self.broken.fetch_add(1, Ordering::SeqCst);
                 return;
             }
+            eprintln!("endpoint {}: received {}", self.address, request.summary());
             let attempt = observations.sent_whole(request.header("x-request-id"));
             self.seen.lock().expect("the lock is poisoned").push(request);
             let version = if answer.form == Framing::Http10 { "HTTP/1.0" } else { "HTTP/1.1" };
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod replay;
 pub mod report;
 pub mod resends;
+pub mod run_folder;
 pub mod script;
 pub mod scripted;
 pub mod simulate;
