gateway: let an answer pause where its request can have no other attempt

What callers saw: 502 for a request that its endpoint had received whole, processed and begun to answer, because the endpoint paused for 0.1 s within the first 64 KiB of the answer. Classes that may not be repeated, and every streamed upload.

Cause: ResponseWait ended an attempt as a reset after 100 ms without a byte of a buffered answer (BUFFERED_RESPONSE_IDLE_TIMEOUT), so that a retry still comes in time. A request that is not idempotent, or whose body has been streamed, has no retry: its only answer was thrown away.

A passed deadline would be TimedOut and 504; the timer of an upload's first deadline fires after 1100 s. Both are ruled out.

Change: an attempt knows whether another one may follow once it is written (RetryAfterWrite); if none may, the limit is PEER_STALL_TIMEOUT, as for a streamed answer, within the attempt's deadline. A stall is logged at debug.

--- a/crates/control/src/body_streaming.rs
+++ b/crates/control/src/body_streaming.rs
@@ -22,8 +22,9 @@
 pub const CLIENT_BODY_IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Longest time that one side of a streamed body may make no progress while the other side waits.
 pub const PEER_STALL_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time without data after which a buffered response is abandoned. An endpoint that keeps the connection open after too
-/// few bytes would otherwise hold the request until the attempt times out, too late for a retry.
+/// Time without data after which a buffered response is abandoned if the request may be retried. An endpoint that keeps
+/// the connection open after too few bytes would otherwise hold the request until the attempt times out, too late for a
+/// retry.
 const BUFFERED_RESPONSE_IDLE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time after the first byte from which a response is streamed
 /// if its announced length exceeds [`MAX_BUFFERED_BODY_BYTES`].
@@ -201,9 +202,16 @@
         }
     }
 
-    /// Time by which the next byte of a buffered response must arrive. `response_start` is when the response's first
-    /// byte arrived; `last_read` is when the connection was last read, possibly for an earlier response.
+    /// Time by which the next byte of a buffered response must arrive if the request may be retried. `response_start` is
+    /// when the response's first byte arrived; `last_read` is when the connection was last read, possibly for an earlier
+    /// response.
     pub fn next_byte_deadline(response_start: Duration, last_read: Duration) -> Duration {
         response_start.max(last_read) + BUFFERED_RESPONSE_IDLE_TIMEOUT
     }
+
+    /// Like [`Self::next_byte_deadline`] for a request that can't be retried: nothing is gained by abandoning its
+    /// response before a streamed response would be abandoned.
+    pub fn next_byte_deadline_without_retry(response_start: Duration, last_read: Duration) -> Duration {
+        response_start.max(last_read) + PEER_STALL_TIMEOUT
+    }
 }
--- a/crates/gateway/src/engine/actions.rs
+++ b/crates/gateway/src/engine/actions.rs
@@ -6,7 +6,7 @@
 use super::timers::Timer;
 use super::Engine;
 use crate::body::RequestPayload;
-use crate::upstream::{Attempt, AttemptResult, Deadline};
+use crate::upstream::{Attempt, AttemptResult, Deadline, RetryAfterWrite};
 use hyper::StatusCode;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -15,7 +15,7 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tracing::debug;
-use weldworks_balancer::{Action, EndpointId, Event, Outcome, RequestId};
+use weldworks_balancer::{Action, EndpointId, Event, Idempotency, Outcome, RequestId};
 use weldworks_fleet::audit::DecisionKind;
 
 /// The deadlines of an attempt.
@@ -108,6 +108,7 @@
             request: entry.forward.clone(),
             deadline: deadline.clone(),
             write_by: deadlines.write_by,
+            retry_after_write: retry_after_write(entry),
             liveness: entry.client.clone(),
             cancel: cancel.clone(),
         };
@@ -147,6 +148,17 @@
     }
 }
 
+/// Whether another attempt of the request may follow one that was written completely. A streamed body is gone once it has been written.
+fn retry_after_write(entry: &RequestEntry) -> RetryAfterWrite {
+    let is_streamed = matches!(entry.forward.body, RequestPayload::Streaming(_));
+    let is_idempotent = entry.class.class.idempotency != Idempotency::NotIdempotent;
+    if is_idempotent && !is_streamed {
+        RetryAfterWrite::Possible
+    } else {
+        RetryAfterWrite::Impossible
+    }
+}
+
 fn log_attempt(
     id: RequestId,
     number: u32,
--- a/crates/gateway/src/engine/request_events.rs
+++ b/crates/gateway/src/engine/request_events.rs
@@ -55,7 +55,7 @@
             attempts_in_flight: 0,
             last_outcome: Outcome::NotSent,
             class_index: request.class,
-            _class: class,
+            class,
         };
         let id = request.id;
         self.timers.push(answer_deadline, Timer::RequestDeadline(id));
--- a/crates/gateway/src/engine/request_table.rs
+++ b/crates/gateway/src/engine/request_table.rs
@@ -36,8 +36,8 @@
     pub(super) attempts_in_flight: u32,
     pub(super) last_outcome: Outcome,
     pub(super) class_index: usize,
-    /// Keeps the request's class registered until the request is removed from the table.
-    pub(super) _class: Rc<RegisteredClass>,
+    /// The class under which the request arrived, which stays registered until the request is removed from the table.
+    pub(super) class: Rc<RegisteredClass>,
 }
 
 impl RequestEntry {
--- a/crates/gateway/src/upstream/attempt.rs
+++ b/crates/gateway/src/upstream/attempt.rs
@@ -61,6 +61,15 @@
     },
 }
 
+/// Whether the request may have another attempt after one that was written completely and then failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryAfterWrite {
+    /// The request may have another attempt, where the balancer decides so.
+    Possible,
+    /// No attempt can follow: this attempt's response is the only one that the request can get.
+    Impossible,
+}
+
 /// One attempt to have a request served.
 pub struct Attempt {
     /// The endpoint to which the request is sent.
@@ -72,6 +81,8 @@
     /// Latest time at which the request's last byte may be written, set where an earlier attempt was possibly processed.
     /// Endpoints recognize the request's idempotency key only until this time.
     pub write_by: Option<Instant>,
+    /// Whether another attempt may follow once the request has been written completely.
+    pub retry_after_write: RetryAfterWrite,
     /// Whether the client still waits for an answer.
     pub liveness: Rc<ClientLiveness>,
     /// Cancels the attempt.
@@ -221,6 +232,7 @@
             connection,
             io_state: &io_state,
             body: &attempt.request.body,
+            retry_after_write: attempt.retry_after_write,
             metrics: &self.metrics,
             report,
             informational: &informational,
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -10,7 +10,7 @@
 mod response_stream;
 mod response_wait;
 
-pub use attempt::{Attempt, AttemptProgress, AttemptResult};
+pub use attempt::{Attempt, AttemptProgress, AttemptResult, RetryAfterWrite};
 pub use deadline::Deadline;
 pub use pool::{ClosedIdleConnection, ConnectionPool, ConnectionSettings};
 
--- a/crates/gateway/src/upstream/response_wait.rs
+++ b/crates/gateway/src/upstream/response_wait.rs
@@ -1,6 +1,6 @@
 //! Drives one connection while a request is written and its response read, and ends the wait when either side stalls.
 
-use super::attempt::AttemptProgress;
+use super::attempt::{AttemptProgress, RetryAfterWrite};
 use super::connection::Connection;
 use crate::body::{RequestPayload, StreamingUpload};
 use crate::metrics::Metrics;
@@ -10,6 +10,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 use tokio::time::{Instant, Sleep};
+use tracing::debug;
 use weldworks_control::body_streaming::{ResponseBuffering, TransferState};
 use weldworks_control::execution::WriteProgress;
 
@@ -18,6 +19,7 @@
     pub(super) connection: &'a mut Connection,
     pub(super) io_state: &'a IoState,
     pub(super) body: &'a RequestPayload,
+    pub(super) retry_after_write: RetryAfterWrite,
     pub(super) metrics: &'a Metrics,
     pub(super) report: &'a dyn Fn(AttemptProgress),
     /// Set when a 1xx response has arrived.
@@ -49,7 +51,20 @@
         if self.stall_timer.deadline() != deadline {
             self.stall_timer.as_mut().reset(deadline);
         }
-        self.stall_timer.as_mut().poll(cx).map(|()| None)
+        self.stall_timer.as_mut().poll(cx).map(|()| {
+            self.log_stall();
+            None
+        })
+    }
+
+    fn log_stall(&self) {
+        let response_idle = self.io_state.last_read_at.get().map(|at| at.elapsed());
+        debug!(
+            request_written = self.request_written,
+            response_begun = self.io_state.first_read_at.get().is_some(),
+            response_idle_ms = response_idle.map(|idle| idle.as_millis() as u64),
+            "connection to endpoint stalled, attempt abandoned"
+        );
     }
 
     fn drive_connection(&mut self, cx: &mut Context<'_>) {
@@ -103,10 +118,14 @@
         }
         let first_read = self.io_state.first_read_at.get()?;
         let last_read = self.io_state.last_read_at.get().unwrap_or(first_read);
-        let next_byte_deadline = ResponseBuffering::next_byte_deadline(
-            first_read - self.started_at,
-            last_read.saturating_duration_since(self.started_at),
-        );
+        let response_start = first_read - self.started_at;
+        let last_read = last_read.saturating_duration_since(self.started_at);
+        let next_byte_deadline = match self.retry_after_write {
+            RetryAfterWrite::Possible => ResponseBuffering::next_byte_deadline(response_start, last_read),
+            RetryAfterWrite::Impossible => {
+                ResponseBuffering::next_byte_deadline_without_retry(response_start, last_read)
+            }
+        };
         Some(self.started_at + next_byte_deadline)
     }
 }
--- a/crates/gateway/src/upstream/tests.rs
+++ b/crates/gateway/src/upstream/tests.rs
@@ -37,6 +37,7 @@
         request: Rc::new(forward),
         deadline: Deadline::new(Instant::now() + Duration::from_secs(10)),
         write_by: None,
+        retry_after_write: RetryAfterWrite::Possible,
         liveness: Rc::new(ClientLiveness::without_connection()),
         cancel: Rc::default(),
     }
--- a/crates/gateway/tests/day_by_day/bodies.rs
+++ b/crates/gateway/tests/day_by_day/bodies.rs
@@ -110,6 +110,23 @@
     );
 }
 
+/// Guards against a 502 for a request that its endpoint has processed and answers, because the endpoint pauses near the answer's start.
+#[test]
+fn answer_that_pauses_while_it_is_buffered_is_delivered_if_no_retry_can_follow() {
+    let pausing_answer =
+        LargeBody { pace: Some((100, Duration::from_millis(400))), ..LargeBody::new(250, Framing::Chunked) };
+    let endpoint = LargeBodyEndpoint::start(pausing_answer);
+    let (gateway, _discovery) = start("pausing", &[endpoint.entry("s-1")]);
+    let upload = LargeBody::new(1 << 20, Framing::Length);
+    for (class, body) in [("once", None), ("once", Some(upload)), ("pay", Some(upload))] {
+        let answer =
+            send_request(&gateway.address, &request(class), body, Duration::ZERO).expect("no answer");
+        assert_eq!((answer.status(), answer.whole, answer.length), (200, true, 250), "{class} {body:?}");
+        assert_eq!(answer.digest, pausing_answer.digest(), "{class} {body:?}");
+    }
+    assert_eq!(endpoint.seen.lock().expect("lock poisoned").len(), 3, "each request must be sent once");
+}
+
 #[test]
 fn truncated_answer_is_visible_to_the_client_and_a_disconnect_to_the_endpoint() {
     for form in [Framing::Length, Framing::Chunked] {
