--- a/crates/balancer/src/snapshot.rs
+++ b/crates/balancer/src/snapshot.rs
@@ -108,6 +108,8 @@
             return;
         }
         traffic.latency_s = snapshot.mean_latency_s;
+        // The work of a class is its average latency relative to the mean, so both averages must have the same history.
+        traffic.class_latency_s.fill(snapshot.mean_latency_s);
         traffic.served_in_time.per_s = snapshot.served_per_s;
         traffic.first_attempts.per_s = snapshot.first_attempts_per_s;
         traffic.served_per_warm_endpoint.per_s = snapshot.served_per_warm_endpoint_per_s;
--- a/crates/balancer/tests/behaviour/main.rs
+++ b/crates/balancer/tests/behaviour/main.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod discovery_polling;
+mod hot_restart;
 mod invalid_input;
 mod retry;
 mod selection;
