balancer: let a restored latency estimate weigh more than one sample

Cause: a detected shift moves the estimate by the excess over the number of samples since the last shift. restore_endpoint entered the restored estimate as one sample, though it stands for all that the predecessor saw, so one answer moved it by half of its excess.

Change: Cusum::restored counts the estimate as 40 samples, the mean run between two false alarms.

--- a/crates/balancer/src/latency_detector.rs
+++ b/crates/balancer/src/latency_detector.rs
@@ -8,6 +8,8 @@
 const MIN_SHIFT_FRACTION: f64 = 0.25;
 /// Mean number of samples between false alarms for which the threshold H is chosen.
 const FALSE_ALARM_RUN_LENGTH_COUNT: f64 = 40.0;
+/// Number of samples that a restored estimate counts as: the mean run between two false alarms.
+const RESTORED_SAMPLE_COUNT: u32 = FALSE_ALARM_RUN_LENGTH_COUNT as u32;
 /// Lower bound of the epoch estimate after a detected fall, as a fraction of the tracking mean.
 const MIN_EPOCH_AFTER_FALL_FRACTION: f64 = 0.2;
 /// Relative change of K/σ above which the threshold is computed again; the computation is a bisection of 40 steps.
@@ -60,6 +62,17 @@
         }
     }
 
+    /// A detector that continues from the estimate of another process, in seconds. The estimate counts as [`RESTORED_SAMPLE_COUNT`]
+    /// samples: if it counted as one sample, a single slow answer would move it by half of that answer's excess.
+    pub(crate) fn restored(estimate: f64) -> Self {
+        Cusum {
+            samples: RESTORED_SAMPLE_COUNT,
+            samples_since_rise: RESTORED_SAMPLE_COUNT,
+            samples_since_fall: RESTORED_SAMPLE_COUNT,
+            ..Cusum::new(estimate)
+        }
+    }
+
     /// The latency estimate of the current epoch (E of the Cusum method), in seconds.
     pub fn estimate(&self) -> f64 {
         self.epoch_estimate_s
--- a/crates/balancer/src/snapshot.rs
+++ b/crates/balancer/src/snapshot.rs
@@ -92,8 +92,7 @@
             .iter_mut()
             .find(|endpoint| endpoint.entry.hash == learned.name_hash && !endpoint.detector.has_samples());
         let Some(endpoint) = unsampled else { return };
-        endpoint.detector = Cusum::new(learned.latency_estimate_s);
-        endpoint.detector.add(learned.latency_estimate_s);
+        endpoint.detector = Cusum::restored(learned.latency_estimate_s);
         endpoint.latency_estimate_s = learned.latency_estimate_s;
         endpoint.last_sample_s = now_s;
         if !endpoint.is_warm() {
