gateway: keep a watch that is about to bring the list that the fleet has

Cause: told by the fleet that most gateways have a newer list, the engine ended its watch at once, unread data included, and in pull mode polled again after a random delay. A gateway that was held up reads the fleet's frame before the list. Calls that had no answer yet were ended too.

Change: the lag is checked again 200 ms later; the watch is ended only if the list is still missing and the watch has been answered.

Measured: a_list_that_arrives_after_the_fleet_has_it_is_read_from_the_current_watch fails with the check at once (watch 2 for 1), passes now.

--- a/crates/gateway/src/engine/discovery_watch.rs
+++ b/crates/gateway/src/engine/discovery_watch.rs
@@ -17,6 +17,10 @@
 use weldworks_balancer::Event;
 use weldworks_control::watch_backoff::{WatchLoss, MAX_RETRY_DELAY, STABLE_WATCH_AGE};
 
+/// Time that a list gets to arrive which other gateways have already. Without it, a gateway that was delayed would drop a watch
+/// whose connection holds the list, and wait for the next poll.
+const LIST_ARRIVAL_GRACE: Duration = Duration::from_millis(200);
+
 impl Engine {
     /// Whether discovery pushes lists to a watch or is polled.
     pub(super) fn list_delivery(&self) -> ListDelivery {
@@ -30,6 +34,7 @@
     pub(super) fn open_watch(&mut self) {
         debug!(list_index = self.list_index, "watch opened");
         self.watch_id += 1;
+        self.watch_is_answered = false;
         self.watch_backoff.record_open(self.handle.balancer_time(Instant::now()));
         let watch = Watch {
             address: self.discovery_address,
@@ -65,6 +70,7 @@
         if watch_id != self.watch_id {
             return;
         }
+        self.watch_is_answered = true;
         self.handle.set_discovery_answered();
         let now = self.handle.balancer_time(Instant::now());
         if let Some(silent_for) = self.watch_backoff.record_message(now) {
@@ -107,10 +113,25 @@
         );
     }
 
+    /// Checks after [`LIST_ARRIVAL_GRACE`] whether this gateway still lacks an endpoint list that other gateways have.
+    pub(super) fn schedule_lag_check(&mut self, current_index: u64) {
+        if current_index <= self.list_index {
+            return;
+        }
+        let is_scheduled = self.fleet_list_index.replace(current_index).is_some();
+        if !is_scheduled {
+            self.timers.push(Instant::now() + LIST_ARRIVAL_GRACE, Timer::ListLagCheck);
+        }
+    }
+
     /// Polls discovery again, on a new connection, where other gateways have a newer endpoint list.
     /// The discovery server behind the current watch may lag, and until that watch ends the gateway would send to drained endpoints.
-    pub(super) fn refresh_lagging_list(&mut self, current_index: u64) {
-        if current_index <= self.list_index {
+    ///
+    /// Where no watch is open, the next one is scheduled. A watch that has not been answered yet may bring the newer list, and has a
+    /// timeout of its own.
+    pub(super) fn refresh_lagging_list(&mut self) {
+        let Some(current_index) = self.fleet_list_index.take() else { return };
+        if current_index <= self.list_index || self.watch_task.is_none() || !self.watch_is_answered {
             return;
         }
         info!(
@@ -118,11 +139,10 @@
             newest_index = current_index,
             "other gateways have a newer endpoint list, polling discovery again"
         );
-        let was_watching = self.end_watch();
-        if self.list_delivery() == ListDelivery::Push {
-            self.open_watch();
-        } else if was_watching {
-            self.notify(Event::DiscoveryFailed { silent_for: Duration::ZERO });
+        self.end_watch();
+        match self.list_delivery() {
+            ListDelivery::Push => self.open_watch(),
+            ListDelivery::Poll => self.notify(Event::DiscoveryFailed { silent_for: Duration::ZERO }),
         }
     }
 
--- a/crates/gateway/src/engine/driver.rs
+++ b/crates/gateway/src/engine/driver.rs
@@ -44,6 +44,7 @@
                 Timer::Balancer(token) => self.notify(Event::Timer { token }),
                 Timer::RequestDeadline(id) => self.enforce_request_deadline(id),
                 Timer::OpenWatch => self.open_missing_watch(),
+                Timer::ListLagCheck => self.refresh_lagging_list(),
                 Timer::EndpointMetrics => self.update_endpoint_metrics(),
             }
         }
@@ -84,7 +85,7 @@
             Message::TakeSnapshot(receiver) => self.send_snapshot(receiver),
             Message::Reconfigure(reconfiguration) => self.reconfigure(*reconfiguration),
             Message::ShutdownStarted => self.apply_shutdown_deadline(),
-            Message::ListLagging { current } => self.refresh_lagging_list(current),
+            Message::ListLagging { current } => self.schedule_lag_check(current),
             Message::RemoteDepartures(departed) => self.drain_remote_departures(&departed),
         }
     }
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -54,6 +54,10 @@
     /// Number of the current discovery watch. Messages of any other watch are ignored.
     watch_id: u64,
     watch_task: Option<JoinHandle<()>>,
+    /// Whether discovery has answered on the current watch.
+    watch_is_answered: bool,
+    /// Index of an endpoint list that other gateways have and this one lacked, until the lag is checked again.
+    fleet_list_index: Option<u64>,
     watch_backoff: WatchBackoff,
     /// Connection side of each endpoint, indexed by endpoint id.
     endpoints: Vec<Rc<UpstreamEndpoint>>,
@@ -94,6 +98,8 @@
             list_faults: Vec::new(),
             watch_id: 0,
             watch_task: None,
+            watch_is_answered: false,
+            fleet_list_index: None,
             watch_backoff: WatchBackoff::default(),
             endpoints: Vec::new(),
             listed_endpoints: Vec::new(),
--- a/crates/gateway/src/engine/tests.rs
+++ b/crates/gateway/src/engine/tests.rs
@@ -246,3 +246,60 @@
         "the endpoints are still known"
     );
 }
+
+/// An engine that polls discovery and has an answered watch with an endpoint list of index 4.
+fn watching_engine() -> Engine {
+    let (mut engine, _handle) = engine();
+    engine.settings.discovery_poll_interval = Some(Duration::from_secs(10));
+    engine.open_watch();
+    receive_list(&mut engine, 4);
+    engine
+}
+
+/// Delivers an endpoint list with this index on the engine's current watch.
+fn receive_list(engine: &mut Engine, index: u64) {
+    let list = EndpointList { index, ..list("s-1") };
+    let watch = engine.watch_id;
+    engine.apply_message(Message::EndpointListReceived { watch, list, previous_message_at: None });
+}
+
+/// Guards against a delayed gateway that drops a working watch and polls seconds later, as it hears of a list from the fleet before it reads it.
+#[tokio::test]
+async fn a_list_that_arrives_after_the_fleet_has_it_is_read_from_the_current_watch() {
+    let local = LocalSet::new();
+    let _inside = local.enter();
+    let mut engine = watching_engine();
+    let watch = engine.watch_id;
+    engine.apply_message(Message::ListLagging { current: 5 });
+    receive_list(&mut engine, 5);
+    engine.refresh_lagging_list();
+    assert_eq!((engine.watch_id, engine.list_index), (watch, 5));
+    assert!(engine.watch_task.is_some());
+}
+
+#[tokio::test]
+async fn a_watch_whose_list_stays_behind_the_fleets_is_replaced_after_the_grace() {
+    let local = LocalSet::new();
+    let _inside = local.enter();
+    let mut engine = watching_engine();
+    engine.apply_message(Message::ListLagging { current: 5 });
+    let checks = engine.timers.iter().filter(|(_, timer)| *timer == Timer::ListLagCheck);
+    let check_at = checks.map(|(at, _)| *at).min().expect("a check is scheduled");
+    assert!(check_at <= Instant::now() + Duration::from_millis(200));
+    engine.refresh_lagging_list();
+    assert!(engine.watch_task.is_none(), "the watch on a discovery that lags is ended");
+}
+
+/// Guards against a call to discovery that is ended each second, before a slow discovery can answer it.
+#[tokio::test]
+async fn a_watch_that_is_not_answered_yet_is_not_ended_for_a_lag() {
+    let local = LocalSet::new();
+    let _inside = local.enter();
+    let mut engine = watching_engine();
+    engine.open_watch();
+    let watch = engine.watch_id;
+    engine.apply_message(Message::ListLagging { current: 5 });
+    engine.refresh_lagging_list();
+    assert_eq!(engine.watch_id, watch);
+    assert!(engine.watch_task.is_some());
+}
--- a/crates/gateway/src/engine/timers.rs
+++ b/crates/gateway/src/engine/timers.rs
@@ -14,6 +14,8 @@
     RequestDeadline(RequestId),
     /// The next watch on discovery is to be opened.
     OpenWatch,
+    /// Whether this gateway still lacks an endpoint list that other gateways have is to be checked.
+    ListLagCheck,
     /// The endpoint gauges are to be updated.
     EndpointMetrics,
 }
@@ -45,7 +47,9 @@
 
     /// Removes the timers that belong to requests or to the balancer.
     pub(super) fn clear_decision_timers(&mut self) {
-        self.heap.retain(|Reverse((_, timer))| matches!(timer, Timer::OpenWatch | Timer::EndpointMetrics));
+        self.heap.retain(|Reverse((_, timer))| {
+            matches!(timer, Timer::OpenWatch | Timer::ListLagCheck | Timer::EndpointMetrics)
+        });
     }
 
     #[cfg(test)]
