gateway: read what the previous discovery has sent before a reload leaves it

What callers saw: an endpoint list that arrived together with a SIGHUP that changes discovery was lost until the new discovery had answered, 3 s and an answer later at most: requests went to endpoints that it drains.

Cause: the engine ended the watch with the reload's message, and messages of an ended watch are ignored, received or not.

Change: the engine switches 10 ms after the reload and reads its watch until then; all other settings are in force at once, as before.

--- a/crates/gateway/src/engine/discovery_watch.rs
+++ b/crates/gateway/src/engine/discovery_watch.rs
@@ -21,6 +21,10 @@
 /// whose connection holds the list, and wait for the next poll.
 const LIST_ARRIVAL_GRACE: Duration = Duration::from_millis(200);
 
+/// Time for which lists that the previous discovery has already sent are still read. Without it, a list that arrives together with the
+/// reload signal would be dropped, and with it a drain, until the new discovery answers seconds later.
+const PREVIOUS_DISCOVERY_READ_TIME: Duration = Duration::from_millis(10);
+
 impl Engine {
     /// Whether discovery pushes lists to a watch or is polled.
     pub(super) fn list_delivery(&self) -> ListDelivery {
@@ -146,6 +150,21 @@
         }
     }
 
+    /// Switches to another discovery address after [`PREVIOUS_DISCOVERY_READ_TIME`]. A later call replaces the address.
+    pub(super) fn schedule_discovery_switch(&mut self, address: SocketAddr) {
+        let is_scheduled = self.next_discovery_address.replace(address).is_some();
+        if !is_scheduled {
+            self.timers.push(Instant::now() + PREVIOUS_DISCOVERY_READ_TIME, Timer::DiscoverySwitch);
+        }
+    }
+
+    /// Carries out the switch that [`Engine::schedule_discovery_switch`] has scheduled.
+    pub(super) fn carry_out_discovery_switch(&mut self) {
+        if let Some(address) = self.next_discovery_address.take() {
+            self.switch_discovery(address);
+        }
+    }
+
     /// Switches to another discovery address and starts at list index 0 there, since list indices of two discoveries can't be compared.
     /// An unchanged address changes nothing, even where discovery is now polled instead of watched or the other way round.
     /// The time of the last discovery message is kept, so the new discovery's first list is applied with the old discovery's time.
--- a/crates/gateway/src/engine/driver.rs
+++ b/crates/gateway/src/engine/driver.rs
@@ -45,6 +45,7 @@
                 Timer::RequestDeadline(id) => self.enforce_request_deadline(id),
                 Timer::OpenWatch => self.open_missing_watch(),
                 Timer::ListLagCheck => self.refresh_lagging_list(),
+                Timer::DiscoverySwitch => self.carry_out_discovery_switch(),
                 Timer::EndpointMetrics => self.update_endpoint_metrics(),
             }
         }
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -47,6 +47,8 @@
     names: StringInterner,
     pool: Rc<ConnectionPool>,
     discovery_address: SocketAddr,
+    /// The address of the discovery to which the engine is about to switch.
+    next_discovery_address: Option<SocketAddr>,
     /// Index of the endpoint list in force; 0 before the first list.
     list_index: u64,
     /// Faults of the previous endpoint list, so that unchanged faults are not logged again.
@@ -94,6 +96,7 @@
             names,
             pool,
             discovery_address,
+            next_discovery_address: None,
             list_index: 0,
             list_faults: Vec::new(),
             watch_id: 0,
--- a/crates/gateway/src/engine/reconfiguration.rs
+++ b/crates/gateway/src/engine/reconfiguration.rs
@@ -33,7 +33,7 @@
             self.enable_retry_storm_control(storm_settings);
         }
         self.balancer.apply_settings(settings);
-        self.switch_discovery(discovery);
+        self.schedule_discovery_switch(discovery);
     }
 
     /// Replaces the interned names. Zones and machine kinds keep their numbers, which endpoints refer to.
--- a/crates/gateway/src/engine/timers.rs
+++ b/crates/gateway/src/engine/timers.rs
@@ -16,6 +16,8 @@
     OpenWatch,
     /// Whether this gateway still lacks an endpoint list that other gateways have is to be checked.
     ListLagCheck,
+    /// The engine is to switch to another discovery.
+    DiscoverySwitch,
     /// The endpoint gauges are to be updated.
     EndpointMetrics,
 }
@@ -48,7 +50,10 @@
     /// Removes the timers that belong to requests or to the balancer.
     pub(super) fn clear_decision_timers(&mut self) {
         self.heap.retain(|Reverse((_, timer))| {
-            matches!(timer, Timer::OpenWatch | Timer::ListLagCheck | Timer::EndpointMetrics)
+            matches!(
+                timer,
+                Timer::OpenWatch | Timer::ListLagCheck | Timer::DiscoverySwitch | Timer::EndpointMetrics
+            )
         });
     }
 
--- a/crates/gateway/tests/crossings/watches.rs
+++ b/crates/gateway/tests/crossings/watches.rs
@@ -149,3 +149,34 @@
     let gaps: Vec<Duration> = call_times.windows(2).skip(1).map(|pair| pair[1] - pair[0]).collect();
     assert!(gaps.len() >= 2 && gaps.iter().all(|gap| *gap < Duration::from_secs(10)), "{gaps:?}");
 }
+
+/// Guards against a drain that is dropped unread because its list arrives together with SIGHUP and another discovery.
+#[test]
+fn list_that_arrives_with_the_reload_to_another_discovery_is_applied() {
+    let [draining, other] = [(); 2].map(|()| ScriptedEndpoint::start(|_| Reply::ok("ok")));
+    let known_endpoints = [draining.entry("s-1", 1), other.entry("s-2", 1)];
+    let discovery = ScriptedDiscovery::start();
+    let config = config_with_admin_api(&discovery, &known_endpoints);
+    let gateway = Gateway::start_with(&PROGRAM, "reload-drain", &discovery, &config);
+    discovery.push(json!({"index": 42, "snapshot": true, "endpoints": known_endpoints}));
+    wait_for("both endpoints to serve", || {
+        gateway.request("look").status() == 200 && draining.count() > 0 && other.count() > 0
+    });
+    // The new discovery is called and never answers.
+    let silent_discovery = StandIn::start(|_, stream| hold_until_closed(stream));
+    let mut new_config = config.clone();
+    new_config["discovery"] = silent_discovery.address.clone().into();
+    gateway.signal("STOP");
+    let draining_entry = entry("s-1", &draining.address.to_string(), 1, "leaving");
+    discovery.push(json!({"index": 43, "snapshot": false, "endpoints": [draining_entry]}));
+    sleep(Duration::from_millis(100)); // the stand-in has written the list well within 100 ms
+    write_config(&PROGRAM, "reload-drain", &new_config.to_string());
+    gateway.signal("HUP");
+    gateway.signal("CONT");
+    wait_for("a call to the new discovery", || silent_discovery.calls() > 0);
+    let before = draining.count();
+    for _ in 0..20 {
+        assert_eq!(gateway.request("look").status(), 200);
+    }
+    assert_eq!(draining.count(), before, "a draining endpoint must be sent nothing new");
+}
