gateway: end a request by its present deadline, not by a timer of an earlier one

Cause: the deadline of a streamed upload moves with the body's last byte; the timer of the first deadline stayed queued and ended the request.

Change: enforce_request_deadline ends a request only once its present deadline has passed.

Measured: the_timer_of_an_upload_s_first_deadline_does_not_end_it_after_its_deadline_has_moved failed before (answered 30 s early), passes now.

--- a/crates/gateway/src/engine/request_events.rs
+++ b/crates/gateway/src/engine/request_events.rs
@@ -90,12 +90,12 @@
         }
     }
 
-    /// Fails a request that the balancer has left open until its deadline.
-    ///
-    /// A streamed upload's first deadline, `UPLOAD_TIMEOUT` after its arrival, ends the request even where the deadline has moved since:
-    /// the timer of the first deadline stays queued after the move.
+    /// Fails a request that the balancer has left open until its deadline. Where the deadline has moved since the timer was set, as that of a
+    /// streamed upload does with the body's last byte, the timer of the new deadline ends the request.
     pub(super) fn enforce_request_deadline(&mut self, id: RequestId) {
-        if self.requests.get(id).is_some_and(|entry| entry.answer.is_some()) {
+        let now = Instant::now();
+        let is_due = |entry: &RequestEntry| entry.answer.is_some() && entry.answer_deadline <= now;
+        if self.requests.get(id).is_some_and(is_due) {
             self.answer(id, FinalAnswer::Failed(StatusCode::GATEWAY_TIMEOUT));
             self.abandon(id);
         }
--- a/crates/gateway/src/engine/tests.rs
+++ b/crates/gateway/src/engine/tests.rs
@@ -149,6 +149,24 @@
     assert_eq!(engine.requests.get(id).map(|entry| entry.answer_deadline), Some(by));
 }
 
+/// Guards against a 504 for a long upload whose body ends shortly before the first deadline of the request.
+#[tokio::test]
+async fn the_timer_of_an_upload_s_first_deadline_does_not_end_it_after_its_deadline_has_moved() {
+    let local = LocalSet::new();
+    let _inside = local.enter();
+    let (mut engine, handle) = engine();
+    let (arrived, mut answer) = arrival(&handle);
+    let id = arrived.request.id;
+    engine.apply_message(Message::RequestArrived(arrived));
+    let later = Instant::now() + Duration::from_secs(30);
+    engine.apply_message(Message::BodyForwarded { request: id, answer_deadline: later });
+    engine.enforce_request_deadline(id);
+    assert!(answer.try_recv().is_err(), "answered before its deadline");
+    engine.apply_message(Message::BodyForwarded { request: id, answer_deadline: Instant::now() });
+    engine.enforce_request_deadline(id);
+    assert!(matches!(answer.try_recv(), Ok(FinalAnswer::Failed(StatusCode::GATEWAY_TIMEOUT))));
+}
+
 /// An endpoint list with one endpoint, which by this machine's wall clock starts `from_now` seconds from now.
 fn started_at(name: &str, index: u64, snapshot: bool, from_now: i64) -> EndpointList {
     let unix = std::time::SystemTime::now()
