--- a/crates/gateway/src/fleet/audit_store.rs
+++ b/crates/gateway/src/fleet/audit_store.rs
@@ -58,7 +58,8 @@
     }
 }
 
-/// Why the audit log could not be written or read.
+/// Why the audit log could not be written or read. The texts of the errors of [`AuditStore::read_history`] are in answers to administrators
+/// (`earlier_unread`) and must not change.
 #[derive(Debug, thiserror::Error)]
 pub enum AuditStoreError {
     /// The writer thread has ended.
@@ -71,7 +72,7 @@
     #[error("the audit file is not open")]
     NotOpen,
     /// Another process has the audit file open, or its disk is failing.
-    #[error("{path} is in use by another process, or its disk is failing: see this gateway's log")]
+    #[error("{path} is another process's, or its disk fails: this gateway's log says which")]
     Unavailable {
         /// Path of the audit file.
         path: String,
@@ -80,7 +81,7 @@
     #[error(transparent)]
     Database(#[from] Box<redb::Error>),
     /// The database library panicked while reading.
-    #[error("the database library panicked while reading the audit file")]
+    #[error("the library broke off reading it")]
     ReadPanicked,
     /// The database library panicked while writing.
     #[error("the database library panicked while writing the audit file")]
--- a/crates/gateway/src/fleet/audit_store/tests.rs
+++ b/crates/gateway/src/fleet/audit_store/tests.rs
@@ -191,3 +191,14 @@
     assert!(report.processes.iter().all(|p| p.steps.is_empty()), "{report:?}");
     let _ = std::fs::remove_dir_all(&folder);
 }
+
+/// Guards against other words in answers to administrators, where they stand as `earlier_unread`.
+#[test]
+fn texts_of_unreadable_history_are_those_that_administrators_get() {
+    let unavailable = AuditStoreError::Unavailable { path: "audit-a.redb".to_owned() };
+    assert_eq!(
+        unavailable.to_string(),
+        "audit-a.redb is another process's, or its disk fails: this gateway's log says which"
+    );
+    assert_eq!(AuditStoreError::ReadPanicked.to_string(), "the library broke off reading it");
+}
