testbed: take no address from a log line of an ended process

What was seen: power_cut, with restarted gateways held right after their start, beside a build: three requests "got no response from gateway 1, which no fault affected". Callers of the product saw nothing.

Cause: the test bed stood still for 3 s (a child was held before its exec, for which the start waits) and read the `listening` line of process 1 of gateway 1 after it had killed that process, in the same moment. It then sent clients and links to an address at which nothing listens.

Evidence: the line carries 16.2 s of the run's clock and was read at 19.157 s, the time of the kill.

Change: addresses and the start of service are taken from lines of the gateway's present process only.

--- a/crates/testbed/src/fleet_scenario/live.rs
+++ b/crates/testbed/src/fleet_scenario/live.rs
@@ -299,6 +299,22 @@
         Ok(())
     }
 
+    /// Whether this is the gateway's present process. Lines of a killed process may be read after its kill, and nothing listens at their
+    /// addresses.
+    fn is_running(&self, gateway: usize, process_number: usize) -> bool {
+        let present_process = self.gateways[gateway].process.borrow();
+        present_process.as_ref().is_some_and(|process| process.process_number == process_number)
+    }
+
+    fn set_link_address(&self, gateway: usize, address: SocketAddr) {
+        self.gateways[gateway].link_address.set(Some(address));
+        for ((_, to), relay) in &self.relays {
+            if *to == gateway {
+                relay.target.set(Some(address));
+            }
+        }
+    }
+
     /// Reads a line of a gateway's log and updates the addresses and the history.
     fn read_log_line(&self, gateway_number: usize, process_number: usize, line: &str) {
         let (at, gateway) = (self.clock.now(), &self.gateways[gateway_number]);
@@ -309,16 +325,15 @@
             line.split_once(marker).and_then(|(_, rest)| rest.trim().parse::<SocketAddr>().ok())
         };
         if let Some(link_address) = address("the link listens address=") {
-            gateway.link_address.set(Some(link_address));
-            for ((_, to), relay) in &self.relays {
-                if *to == gateway_number {
-                    relay.target.set(Some(link_address));
-                }
+            if self.is_running(gateway_number, process_number) {
+                self.set_link_address(gateway_number, link_address);
             }
         } else if let Some(client_address) = address(" listening address=") {
-            gateway.serving_since.set(at);
             gateway.process_times.borrow_mut()[process_number].serving_since = Some(at);
-            gateway.client_address.set(Some(client_address));
+            if self.is_running(gateway_number, process_number) {
+                gateway.serving_since.set(at);
+                gateway.client_address.set(Some(client_address));
+            }
         } else if let Some((_, state_text)) = line.split_once("fleet standing=") {
             let state_text = state_text.split(" takes_clients=").next().unwrap_or_default().trim();
             let session_state = match state_text.strip_prefix("in session ") {
