testbed: replace the next process once the last one has joined again

Callers of the product saw nothing.

Cause: the script means that each member is seated anew before the next one goes, and the test bed only counted 4 s from each SIGTERM. Gateway 0 took 4.15 s to come back, gateway 1 was told to end before, and one of three votes was left; without state on disk such a group is over, as documented.

Change: the next process is replaced once the last one is in session and votes, if it is a voter, and 4 s after it at least; the run waits for replacements before its checks, which are as they were.

--- a/crates/testbed/src/fleet_scenario/live.rs
+++ b/crates/testbed/src/fleet_scenario/live.rs
@@ -156,6 +156,8 @@
     /// Gateways whose configuration file was rewritten, each with whether the new file is invalid.
     pub(super) rewritten_configs: RefCell<BTreeMap<usize, bool>>,
     pub(super) kills: RefCell<Vec<Kill>>,
+    /// Number of faults that are replacing processes.
+    pub(super) active_replacements: Cell<usize>,
     /// Wall clock time at the start of `clock`, in milliseconds since the Unix epoch.
     pub(super) started_unix_ms: u64,
 }
@@ -261,6 +263,7 @@
             drained_at: Cell::new(None),
             rewritten_configs: RefCell::default(),
             kills: RefCell::default(),
+            active_replacements: Cell::default(),
             started_unix_ms,
         })
     }
@@ -423,7 +426,8 @@
         tokio::time::sleep_until(timeline_start + self.script.duration).await;
         // A slow machine gets more time to recover from the last fault; the checks use the state after that.
         let recovery_start = Instant::now();
-        while !self.all_in_session().await && recovery_start.elapsed() < PROCESS_TIMEOUT / 3 {
+        let is_recovering = async || self.active_replacements.get() > 0 || !self.all_in_session().await;
+        while is_recovering().await && recovery_start.elapsed() < PROCESS_TIMEOUT / 3 {
             sleep(STATUS_POLL_INTERVAL).await;
         }
         publishing.abort();
@@ -659,15 +663,8 @@
                 }
             }
             FaultKind::ReplaceProcesses { interval } => {
-                let (run, gateways, interval) =
-                    (self.clone(), self.targets_of(fault_index, fault), *interval);
-                spawn_local(async move {
-                    for gateway in gateways {
-                        let replacement_start = Instant::now();
-                        run.replace_process(gateway).await;
-                        sleep(interval.saturating_sub(replacement_start.elapsed())).await;
-                    }
-                });
+                let gateways = self.targets_of(fault_index, fault);
+                spawn_local(self.clone().replace_processes(gateways, *interval));
             }
         }
         Ok(())
@@ -789,6 +786,29 @@
         }
     }
 
+    /// Replaces the processes of these gateways one after the other, as the operators' page says: the next one once the last one has
+    /// joined again, and not before `interval` has passed. Without state on disk, two of three voters that are away at once end the group.
+    async fn replace_processes(self: Rc<Self>, gateways: Vec<usize>, interval: Duration) {
+        self.active_replacements.set(self.active_replacements.get() + 1);
+        for gateway in gateways {
+            let replacement_start = Instant::now();
+            self.replace_process(gateway).await;
+            while !self.has_joined(gateway).await && replacement_start.elapsed() < PROCESS_TIMEOUT {
+                sleep(STATUS_POLL_INTERVAL).await;
+            }
+            sleep(interval.saturating_sub(replacement_start.elapsed())).await;
+        }
+        self.active_replacements.set(self.active_replacements.get() - 1);
+    }
+
+    /// Whether the gateway's process has a session, and its vote if it is a voter.
+    async fn has_joined(&self, gateway: usize) -> bool {
+        let Some(status) = self.query_admin(gateway, AdminQuery::Status).await else { return false };
+        let is_in_session = status["standing"].as_str().is_some_and(|state| state.starts_with("in session"));
+        let votes = status["council"][1] == true;
+        is_in_session && (votes || gateway >= self.script.voter_count)
+    }
+
     /// Replaces a process by a graceful shutdown: a new process starts once the previous one has ended.
     async fn replace_process(self: &Rc<Self>, gateway_number: usize) {
         let gateway = &self.gateways[gateway_number];
