--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -1,4 +1,4 @@
-//! Case 3: a client reads a long answer at 64 kB a second. Does it get the whole answer that its host gives?
+//! Case 3: a client reads a long answer at 96 kB a second. Does it get the whole answer that its host gives?
 
 #[path = "../standin/common.rs"]
 mod common;
@@ -12,10 +12,10 @@
 use std::time::{Duration, Instant};
 
 /// Length of the answer; the pages allow 32 MB.
-const ANSWER_BYTES: usize = 6_200_000;
-/// What the slow client reads in a second, in pieces of 3,200 bytes.
-const BYTES_PER_S: f64 = 64e3;
-const PIECE: usize = 3_200;
+const ANSWER_BYTES: usize = 8_000_000;
+/// What the slow client reads in a second, in pieces of 4,800 bytes: half as much again as the 64 kB of the pages.
+const BYTES_PER_S: f64 = 96e3;
+const PIECE: usize = 4_800;
 
 /// A host that writes the whole answer as fast as it is taken.
 fn give(received: &Received, stream: &mut TcpStream) -> bool {
