--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -6,6 +6,7 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex, OnceLock};
@@ -58,7 +59,7 @@
 pub fn record(text: &str) {
     let at = START.get_or_init(Instant::now).elapsed();
     let line = format!("{:9.4} {text}\n", at.as_secs_f64());
-    print!("{line}");
+    let _ = io::stdout().write_all(line.as_bytes());
     if let Some(file) = RECORD.get() {
         let _ = file.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).write_all(line.as_bytes());
     }
@@ -94,6 +95,23 @@
     TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("find a free port")
 }
 
+extern "C" {
+    fn prctl(option: i32, argument: u64, unused: u64, unused: u64, unused: u64) -> i32;
+}
+
+/// Has the system end a started process when the thread that started it ends, so that none outlives a case that is stopped by hand.
+fn end_with_the_case(command: &mut Command) -> &mut Command {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
+    // SAFETY: `prctl` with this option sets an attribute of the calling process, touches no memory and may be called after a fork.
+    unsafe {
+        command.pre_exec(|| match prctl(PR_SET_PDEATHSIG, SIGKILL, 0, 0, 0) {
+            0 => Ok(()),
+            _ => Err(io::Error::last_os_error()),
+        })
+    }
+}
+
 /// A gateway, started with the command `run` of the deploy file.
 pub struct Gateway {
     pub child: Child,
@@ -135,7 +153,8 @@
         );
         fs::write(&config, text).expect("write the configuration");
         let log = folder.join("log.txt");
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        let child = end_with_the_case(&mut command)
             .args(["-c", &run_command()])
             .env("ROUTER_NAME", name)
             .env("ROUTER_LISTEN", listen.to_string())
