gateway: log at level debug why a streamed response ends early

Need: a streamed response that the gateway gives up left two lines in the log, `request finished ... result="served"` and `attempt ended ... outcome=Cancelled`.

Change: `streamed response ended early`, with reason, received bytes and time. Outcomes are as before.

--- a/crates/gateway/src/upstream/response_stream.rs
+++ b/crates/gateway/src/upstream/response_stream.rs
@@ -14,6 +14,7 @@
 use std::pin::Pin;
 use tokio::sync::mpsc;
 use tokio::time::{timeout, Instant};
+use tracing::debug;
 use weldworks_balancer::{LoadReport, Outcome};
 use weldworks_control::body_streaming::PEER_STALL_TIMEOUT;
 
@@ -26,6 +27,31 @@
     pub(super) body: PartialBody,
 }
 
+/// Why a streamed response ended before all of it was handed to the client's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EarlyEnd {
+    /// The client's connection has ended.
+    ClientDisconnected,
+    /// The client's connection took no part of the response for [`PEER_STALL_TIMEOUT`].
+    ClientStalled,
+    /// The endpoint's connection broke, or the endpoint violated the framing of the response.
+    EndpointFailed,
+    /// The endpoint sent no byte for [`PEER_STALL_TIMEOUT`].
+    EndpointStalled,
+    /// The response is longer than [`MAX_BODY_BYTES`].
+    TooLong,
+}
+
+impl EarlyEnd {
+    fn outcome(self) -> Outcome {
+        match self {
+            EarlyEnd::ClientDisconnected | EarlyEnd::ClientStalled => Outcome::Cancelled,
+            EarlyEnd::EndpointFailed | EarlyEnd::EndpointStalled => Outcome::Reset,
+            EarlyEnd::TooLong => Outcome::Error,
+        }
+    }
+}
+
 impl ConnectionPool {
     /// Streams the response until it is complete, or either side disconnects or stalls. The connection is then closed or in the pool.
     pub(super) async fn stream_response(
@@ -44,11 +70,11 @@
         let body = ResponseBody::streaming(length, receiver);
         let response = Box::new(UpstreamResponse { headers, body });
         report(AttemptProgress::ResponseStarted { response, first_byte_at, load_report });
-        loop {
+        let early_end = loop {
             let frame = next_frame(&mut unread, &mut connection, &mut connection_closed);
             let frame = tokio::select! {
                 biased;
-                () = chunks.closed() => return Outcome::Cancelled,
+                () = chunks.closed() => break EarlyEnd::ClientDisconnected,
                 frame = timeout(PEER_STALL_TIMEOUT, frame) => frame,
             };
             let data = match frame {
@@ -60,18 +86,23 @@
                     }
                     return Outcome::Served;
                 }
-                Ok(Some(Err(_))) | Err(_) => return Outcome::Reset,
+                Ok(Some(Err(_))) => break EarlyEnd::EndpointFailed,
+                Err(_) => break EarlyEnd::EndpointStalled,
             };
             let Ok(data) = data else { continue }; // trailers are not forwarded: they belong to the endpoint's connection
             received_bytes += data.len() as u64;
             if received_bytes > MAX_BODY_BYTES {
-                return Outcome::Error;
+                break EarlyEnd::TooLong;
             }
-            let sent = timeout(PEER_STALL_TIMEOUT, chunks.send(ResponseChunk::Data(data))).await;
-            if !matches!(sent, Ok(Ok(()))) {
-                return Outcome::Cancelled;
+            match timeout(PEER_STALL_TIMEOUT, chunks.send(ResponseChunk::Data(data))).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => break EarlyEnd::ClientDisconnected,
+                Err(_) => break EarlyEnd::ClientStalled,
             }
-        }
+        };
+        let streamed_ms = first_byte_at.elapsed().as_millis() as u64;
+        debug!(reason = ?early_end, received_bytes, streamed_ms, "streamed response ended early");
+        early_end.outcome()
     }
 }
 
