gateway: retry a blocked write without waiting for the poller's report

Cause: a side that takes no byte for 10 s counts as stalled, and whether it took bytes was read off the poller alone. The kernel reports a full send buffer as writable only once about a third of it is free: 1.4 of 4.2 MB here.

Log: `streamed response ended early reason=ClientStalled` while the client read on.

Change: a write that waits is retried each second by a direct call, with its first piece. A write succeeds as soon as there is any room, so the 10 s now run from the last byte that the peer's side took. One write path serves clients and endpoints.

--- a/crates/gateway/src/transport/instrumented_stream.rs
+++ b/crates/gateway/src/transport/instrumented_stream.rs
@@ -3,6 +3,7 @@
 pub use super::io_state::IoState;
 pub use super::socket_probe::SocketProbe;
 
+use super::blocked_write::BlockedWrite;
 use super::socket_probe::peek;
 use crate::transport::message_framing::MessageFraming;
 use crate::transport::stream::{self, is_transient};
@@ -40,6 +41,8 @@
     /// Tracks the framing of the requests that are written, to find the end of each request.
     write_framing: Option<RefCell<MessageFraming>>,
     linger_timer: Option<Pin<Box<Sleep>>>,
+    /// The wait for room in the kernel's send buffer; `None` while no write waits.
+    blocked_write: Option<BlockedWrite>,
 }
 
 impl InstrumentedStream {
@@ -52,6 +55,7 @@
             read_framing: None,
             write_framing: None,
             linger_timer: None,
+            blocked_write: None,
         };
         (instrumented, io_state)
     }
@@ -82,18 +86,38 @@
         !matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Writes to the stream by calling `write`, or fails with `TimedOut` if the request's write deadline has passed.
+    /// Writes to the stream by calling `write`, which writes `first_piece` and any further pieces. While `write` waits for the poller,
+    /// `first_piece` is retried at intervals.
+    ///
+    /// # Errors
+    /// `TimedOut` if the request's write deadline has passed.
     fn poll_write_before_deadline(
-        &self,
+        &mut self,
         cx: &mut Context<'_>,
+        first_piece: &[u8],
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
-        stream::poll_write(&self.stream, cx, |stream| {
+        let check_deadline = || {
             if self.io_state.is_past_write_deadline() {
-                return Err(io::ErrorKind::TimedOut.into());
+                return Err(io::Error::from(io::ErrorKind::TimedOut));
             }
+            Ok(())
+        };
+        let mut written = stream::poll_write(&self.stream, cx, |stream| {
+            check_deadline()?;
             write(stream)
-        })
+        });
+        if written.is_pending() {
+            let blocked_write = self.blocked_write.get_or_insert_with(BlockedWrite::new);
+            written = blocked_write.poll_retry(cx, || {
+                check_deadline()?;
+                SockRef::from(&*self.stream).send(first_piece)
+            });
+        }
+        if written.is_ready() {
+            self.blocked_write = None;
+        }
+        written
     }
 
     /// Records that the first `written` bytes of `pieces` have been written to the kernel.
@@ -163,8 +187,8 @@
 }
 
 impl AsyncWrite for InstrumentedStream {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        let written = ready!(self.poll_write_before_deadline(cx, |stream| stream.try_write(data)))?;
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        let written = ready!(self.poll_write_before_deadline(cx, data, |stream| stream.try_write(data)))?;
         self.record_write([data].into_iter(), written);
         Poll::Ready(Ok(written))
     }
@@ -202,11 +226,14 @@
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         data: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(self.poll_write_before_deadline(cx, |stream| stream.try_write_vectored(data)))?;
+        let first_piece: &[u8] = data.iter().find(|piece| !piece.is_empty()).map_or(&[], |piece| piece);
+        let written = ready!(
+            self.poll_write_before_deadline(cx, first_piece, |stream| stream.try_write_vectored(data))
+        )?;
         self.record_write(data.iter().map(|piece| &**piece), written);
         Poll::Ready(Ok(written))
     }
--- a/crates/gateway/tests/day_by_day/main.rs
+++ b/crates/gateway/tests/day_by_day/main.rs
@@ -19,6 +19,7 @@
 mod bodies;
 mod hot_restart;
 mod settings;
+mod slow_readers;
 
 static PROGRAM: LazyLock<Program> = LazyLock::new(|| {
     let folder = own_run_folder(env!("CARGO_TARGET_TMPDIR"));
