gateway: end a client's connection that takes no byte for 10 s where it is written

Callers saw nothing at once: a client that asks for a long answer and reads nothing kept its connection, buffers and one of `router_current` for as long as it stayed, also in a process that was told to end.

Cause: the 10 s without progress were counted where the endpoint is read, and ended that side alone. The client's side learns of it only when it takes the next piece of the body, which it does only once a write has gone through.

Evidence: client_that_takes_no_byte_of_a_long_answer_is_disconnected on the code before: the endpoint's connection ended, `router_current` was still 1 at the test's limit of 60 s ("the end of the request").

Change: a blocked write fails once its peer has taken no byte for 10 s, which closes the connection and with it the endpoint's side. The second clock, in response_stream, is gone; an endpoint's connection is back in the pool before the end of the answer waits for its client.

--- a/crates/gateway/src/transport/instrumented_stream.rs
+++ b/crates/gateway/src/transport/instrumented_stream.rs
@@ -90,7 +90,7 @@
     /// `first_piece` is retried at intervals.
     ///
     /// # Errors
-    /// `TimedOut` if the request's write deadline has passed.
+    /// `TimedOut` if the request's write deadline has passed, or the peer has stalled.
     fn poll_write_before_deadline(
         &mut self,
         cx: &mut Context<'_>,
--- a/crates/gateway/src/upstream/response_stream.rs
+++ b/crates/gateway/src/upstream/response_stream.rs
@@ -30,10 +30,8 @@
 /// Why a streamed response ended before all of it was handed to the client's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum EarlyEnd {
-    /// The client's connection has ended.
-    ClientDisconnected,
-    /// The client's connection took no part of the response for [`PEER_STALL_TIMEOUT`].
-    ClientStalled,
+    /// The client's connection has ended: the client disconnected, or stalled.
+    ClientConnectionEnded,
     /// The endpoint's connection broke, or the endpoint violated the framing of the response.
     EndpointFailed,
     /// The endpoint sent no byte for [`PEER_STALL_TIMEOUT`].
@@ -45,7 +43,7 @@
 impl EarlyEnd {
     fn outcome(self) -> Outcome {
         match self {
-            EarlyEnd::ClientDisconnected | EarlyEnd::ClientStalled => Outcome::Cancelled,
+            EarlyEnd::ClientConnectionEnded => Outcome::Cancelled,
             EarlyEnd::EndpointFailed | EarlyEnd::EndpointStalled => Outcome::Reset,
             EarlyEnd::TooLong => Outcome::Error,
         }
@@ -53,7 +51,8 @@
 }
 
 impl ConnectionPool {
-    /// Streams the response until it is complete, or either side disconnects or stalls. The connection is then closed or in the pool.
+    /// Streams the response until it is complete, either side disconnects, or the endpoint stalls. The connection is then closed or in
+    /// the pool. A client that stalls is disconnected by its own connection.
     pub(super) async fn stream_response(
         &self,
         response: StreamingResponse,
@@ -74,16 +73,16 @@
             let frame = next_frame(&mut unread, &mut connection, &mut connection_closed);
             let frame = tokio::select! {
                 biased;
-                () = chunks.closed() => break EarlyEnd::ClientDisconnected,
+                () = chunks.closed() => break EarlyEnd::ClientConnectionEnded,
                 frame = timeout(PEER_STALL_TIMEOUT, frame) => frame,
             };
             let data = match frame {
                 Ok(Some(Ok(frame))) => frame.into_data(),
                 Ok(None) => {
-                    let _ = timeout(PEER_STALL_TIMEOUT, chunks.send(ResponseChunk::End)).await;
                     if !connection_closed {
                         self.put_back(connection, endpoint).await;
                     }
+                    let _ = chunks.send(ResponseChunk::End).await;
                     return Outcome::Served;
                 }
                 Ok(Some(Err(_))) => break EarlyEnd::EndpointFailed,
@@ -94,10 +93,8 @@
             if received_bytes > MAX_BODY_BYTES {
                 break EarlyEnd::TooLong;
             }
-            match timeout(PEER_STALL_TIMEOUT, chunks.send(ResponseChunk::Data(data))).await {
-                Ok(Ok(())) => {}
-                Ok(Err(_)) => break EarlyEnd::ClientDisconnected,
-                Err(_) => break EarlyEnd::ClientStalled,
+            if chunks.send(ResponseChunk::Data(data)).await.is_err() {
+                break EarlyEnd::ClientConnectionEnded;
             }
         };
         let streamed_ms = first_byte_at.elapsed().as_millis() as u64;
--- a/crates/gateway/tests/day_by_day/slow_readers.rs
+++ b/crates/gateway/tests/day_by_day/slow_readers.rs
@@ -78,3 +78,14 @@
     let received = endpoint.join().expect("endpoint thread panicked");
     assert_eq!((received.whole, received.length, received.digest), (true, BODY_BYTES, upload.digest()));
 }
+
+/// Guards against a client that takes no byte of a long answer and holds the connections of both sides for as long as it stays.
+#[test]
+fn client_that_takes_no_byte_of_a_long_answer_is_disconnected() {
+    let endpoint = LargeBodyEndpoint::start(LargeBody::new(BODY_BYTES, Framing::Length));
+    let (gateway, _discovery) = start("deaf-client", &[endpoint.entry("s-1")]);
+    let mut client = TcpStream::connect(&gateway.address).expect("connect failed");
+    client.write_all(request("look").as_bytes()).expect("write of the request failed");
+    wait_for("the close of the endpoint connection", || endpoint.left.load(Ordering::SeqCst) == 1);
+    wait_for("the end of the request", || gateway.metric("router_current") == Some(0));
+}
