gateway: keep a connection in use until the end of its answer is written

Cause: a connection counted as idle once the answer's last piece was with the HTTP library, which holds it while the kernel's send buffer is full. An idle connection is closed, and the close had 1 s to write what was left.

Change: a connection owes a response while written bytes wait for room. Idle limits, the choice of a connection to free its slot, and the limit of a request head ask the same question.

--- a/crates/gateway/src/server/http/client_connection.rs
+++ b/crates/gateway/src/server/http/client_connection.rs
@@ -20,7 +20,8 @@
     /// The earliest moment at which the connection may have entered the accept queue; `None` if it can't have waited there.
     pub(super) queued_since: Option<Instant>,
     pub(super) permit: RefCell<DescriptorPermit>,
-    /// Since when no request has been in flight on the connection; `None` while one is in flight.
+    /// Since when no request has been in flight on the connection; `None` while one is in flight. The end of the last response may still
+    /// be unwritten, see [`ClientConnection::owes_response`].
     pub(super) idle_since: Cell<Option<Instant>>,
     pub(super) request_count: Cell<u64>,
     /// Whether the connection is kept alive after a response and has not received another request.
@@ -69,14 +70,20 @@
         self.abort_requested.notify_one();
     }
 
-    /// Whether no request has been in flight on the connection for at least `limit`.
+    /// Whether a request is in flight, or the end of a response waits until the client takes more of it. If the connection were dropped
+    /// now, the client would not get a complete response.
+    pub(super) fn owes_response(&self) -> bool {
+        self.idle_since.get().is_none() || self.io_state.is_write_blocked.get()
+    }
+
+    /// Whether no response is owed on the connection, and no request has been in flight for at least `limit`.
     pub(super) fn is_idle_for(&self, limit: Duration) -> bool {
-        self.idle_since.get().is_some_and(|since| since.elapsed() >= limit)
+        !self.owes_response() && self.idle_since.get().is_some_and(|since| since.elapsed() >= limit)
     }
 
     /// Whether the connection is idle and the server has not decided to close it.
     pub(super) fn is_open_and_idle(&self) -> bool {
-        self.idle_since.get().is_some() && !self.is_closing.get()
+        !self.owes_response() && !self.is_closing.get()
     }
 
     /// Whether a request head has begun to arrive, or the connection's first request head is awaited.
--- a/crates/gateway/src/server/http/connection.rs
+++ b/crates/gateway/src/server/http/connection.rs
@@ -22,8 +22,8 @@
 use std::time::Duration;
 use tokio::time::{timeout, Instant};
 
-/// Time that a connection has after the start of a graceful close to write a response or to receive the rest of a head.
-/// While a request is in flight, the time for the graceful close starts again.
+/// Time that a connection has after the start of a graceful close to close or to receive the rest of a head.
+/// While a response is owed, the time for the graceful close starts again.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// How normal service of a client connection ended.
@@ -60,11 +60,10 @@
         }
         // A request in flight is still answered; without one the HTTP library closes the connection at once.
         connection.as_mut().graceful_shutdown();
-        // The timeout prevents a client that neither completes its request nor reads its response from keeping the connection open.
+        // The timeout prevents a client that does not complete its request from keeping the connection open. A client that does not take
+        // its response is disconnected by the stream.
         let finish = async {
-            while timeout(CLOSE_TIMEOUT, connection.as_mut()).await.is_err()
-                && client.idle_since.get().is_none()
-            {}
+            while timeout(CLOSE_TIMEOUT, connection.as_mut()).await.is_err() && client.owes_response() {}
         };
         tokio::select! {
             biased;
@@ -126,8 +125,11 @@
             () = disconnected.as_mut() => return ConnectionEnd::Closed,
             () = client.close_requested.notified() => {}
             () = client.abort_requested.notified() => {
+                if !client.owes_response() {
+                    return ConnectionEnd::Closed;
+                }
                 if client.idle_since.get().is_some() {
-                    return ConnectionEnd::Closed; // no complete request has arrived, so no response is owed
+                    return ConnectionEnd::Shutdown; // only the end of an earlier response is still to be written
                 }
                 continue; // a request was completed just before the abort; the connection is closed with its response
             }
@@ -161,8 +163,8 @@
     .await
 }
 
-/// Marks a client connection as idle when dropped: after a buffered response has been handed to the HTTP library, which may not have
-/// written it yet, or after a streamed response has ended.
+/// Marks a client connection as idle when dropped: after a response has been handed to the HTTP library, which may not have written its
+/// end yet.
 struct InUseGuard {
     server: Rc<Server>,
     client: Rc<ClientConnection>,
--- a/crates/gateway/src/transport/instrumented_stream.rs
+++ b/crates/gateway/src/transport/instrumented_stream.rs
@@ -117,6 +117,8 @@
         if written.is_ready() {
             self.blocked_write = None;
         }
+        // A write that the kernel accepted in part is followed at once by a write of the rest.
+        self.io_state.is_write_blocked.set(written.is_pending());
         written
     }
 
--- a/crates/gateway/src/transport/io_state.rs
+++ b/crates/gateway/src/transport/io_state.rs
@@ -24,6 +24,8 @@
     pub written_at: Cell<Option<Instant>>,
     /// The write deadline: from this moment on no further byte of an incomplete request is written.
     pub write_by: Cell<Option<Instant>>,
+    /// Whether bytes to be written wait for room in the kernel's send buffer.
+    pub is_write_blocked: Cell<bool>,
     /// Whether the connection is idle, so that any input on it is an error.
     pub is_idle: Cell<bool>,
 }
--- a/crates/gateway/tests/day_by_day/main.rs
+++ b/crates/gateway/tests/day_by_day/main.rs
@@ -19,6 +19,7 @@
 mod bodies;
 mod hot_restart;
 mod settings;
+mod slow_departures;
 mod slow_readers;
 
 static PROGRAM: LazyLock<Program> = LazyLock::new(|| {
