gateway: let an attempt wait for a descriptor in place of ending at once

Cause: both processes share the limit of descriptors. An attempt that found none free ended as NotSent at once, and a request used up its six attempts before the other process closed anything.

Change: an attempt waits for a descriptor as long as a connect may take, within its deadline, as it waits out other shortages of this machine.

Result: the new unit test ended with NotSent before and is served now.

--- a/crates/gateway/src/upstream/connect.rs
+++ b/crates/gateway/src/upstream/connect.rs
@@ -1,9 +1,10 @@
-//! Opens connections to endpoints, and retries connects that fail for a reason on this machine.
+//! Opens connections to endpoints. Waits for a descriptor, and retries connects that fail for a reason on this machine.
 
 use super::connection::Connection;
 use super::pool::ConnectionPool;
 use super::UpstreamEndpoint;
 use crate::limits::MAX_READ_AHEAD_BYTES;
+use crate::transport::descriptor_budget::DescriptorPermit;
 use crate::transport::instrumented_stream::InstrumentedStream;
 use crate::transport::message_framing::MessageFraming;
 use crate::transport::system_errors::is_local_connect_failure;
@@ -16,7 +17,7 @@
 use tokio::time::{sleep, timeout_at, Instant};
 use weldworks_control::execution::AttemptEnd;
 
-/// Delay before the next connect after a connect that failed for a reason on this machine, such as a lack of resources.
+/// Delay before the next try where a connection can't be opened for a reason on this machine, such as a lack of resources.
 const LOCAL_FAILURE_RETRY_DELAY: Duration = Duration::from_millis(5);
 
 /// Connects by `deadline`, and retries a connect that failed for a reason on this machine. Nothing has been sent by then.
@@ -51,7 +52,7 @@
     /// Opens a connection to the endpoint by `deadline`.
     ///
     /// # Errors
-    /// [`AttemptEnd::Withheld`] where the endpoint has no address, no descriptor is left, or this machine can't connect.
+    /// [`AttemptEnd::Withheld`] where the endpoint has no address, no descriptor has become free, or this machine can't connect.
     /// [`AttemptEnd::ConnectionFailed`] where the failure to connect is the endpoint's.
     pub(super) async fn dial(
         &self,
@@ -59,9 +60,9 @@
         deadline: Instant,
     ) -> Result<Connection, AttemptEnd> {
         let address = endpoint.address.get().ok_or(AttemptEnd::Withheld)?;
-        let permit = self.acquire_descriptor().ok_or(AttemptEnd::Withheld)?;
-        tracing::debug!(endpoint = %address, "connecting to endpoint");
         let deadline = deadline.min(Instant::now() + self.settings.borrow().dial_timeout);
+        let permit = self.wait_for_descriptor(deadline).await?;
+        tracing::debug!(endpoint = %address, "connecting to endpoint");
         let stream = connect_with_retry(|| TcpStream::connect(address), deadline).await?;
         let _ = stream.set_nodelay(true);
         let (stream, io_state) = InstrumentedStream::new(stream);
@@ -80,6 +81,23 @@
             _permit: permit,
         })
     }
+
+    /// Waits until a descriptor for a new connection is free. During a hot restart the other process may have all of them open. If a
+    /// lack of descriptors ended an attempt at once, it would use up all attempts of a request within a moment.
+    ///
+    /// # Errors
+    /// [`AttemptEnd::Withheld`] where no descriptor is free by `deadline`.
+    async fn wait_for_descriptor(&self, deadline: Instant) -> Result<DescriptorPermit, AttemptEnd> {
+        let acquiring = async {
+            loop {
+                if let Some(permit) = self.acquire_descriptor() {
+                    return permit;
+                }
+                sleep(LOCAL_FAILURE_RETRY_DELAY).await;
+            }
+        };
+        timeout_at(deadline, acquiring).await.map_err(|_| AttemptEnd::Withheld)
+    }
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/upstream/tests.rs
+++ b/crates/gateway/src/upstream/tests.rs
@@ -13,6 +13,7 @@
 use tokio::time::{timeout, Instant};
 use weldworks_balancer::load_report::LoadReportFields;
 use weldworks_balancer::{LoadReport, Outcome};
+use weldworks_control::hot_restart::DescriptorUsage;
 
 fn pool(keep_alive: Duration, load_report_fields: LoadReportFields) -> ConnectionPool {
     let settings =
@@ -158,3 +159,30 @@
     });
     assert_eq!(reported.await, None, "the endpoint has not closed the connection");
 }
+
+/// Guards against 503 for requests of a replaced process's clients: while the other process has all descriptors for endpoints open, each
+/// attempt of the successor ended at once, and a request used up all its attempts within a millisecond.
+#[tokio::test]
+async fn an_attempt_waits_until_the_other_process_of_a_hot_restart_releases_a_descriptor() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind a port");
+    let address = listener.local_addr().expect("read the local address");
+    let budget = DescriptorBudget::new(&Default::default(), AdminApi::Disabled);
+    let all_endpoints = DescriptorUsage { clients: 0, overflow: 0, endpoints: budget.upstream.capacity() };
+    let settings = ConnectionSettings {
+        dial_timeout: Duration::from_secs(5),
+        keep_alive: Duration::from_secs(10),
+        load_report_fields: LoadReportFields::default(),
+    };
+    let pool = ConnectionPool::new(budget.upstream.clone(), settings, Rc::default());
+    budget.reserve_for_peer(all_endpoints);
+    let attempt = attempt(endpoint(EndpointId(0), Some(address)));
+    let release = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        budget.reserve_for_peer(DescriptorUsage { endpoints: all_endpoints.endpoints - 1, ..all_endpoints });
+    };
+    let answer = answer_one(&listener, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    let no_report = |_| {};
+    let (result, (), _stream) =
+        tokio::join!(pool.attempt(&attempt, &no_report), release, timeout(Duration::from_secs(5), answer));
+    assert_eq!(result.outcome, Outcome::Served);
+}
