control: count a deadline of over 3 s as 3 s for the answers before a kill

Cause: PROTOCOL: SIGKILL comes "no sooner than the longest deadline (3 s at most) and 0.7 s more". The time by which all answers are written counted the whole longest deadline, so with 6 s it lay at 6.45 s, after the kill at 3.7 s.

--- a/crates/control/src/drain.rs
+++ b/crates/control/src/drain.rs
@@ -37,6 +37,8 @@
 /// Time after SIGTERM until which the first request of a new connection may still
 /// arrive: the 0.7 s that the shutdown protocol allows, plus a margin of 50 ms.
 pub const FIRST_REQUEST_LIMIT: Duration = Duration::from_millis(750);
+/// Longest client deadline for which the kill of the process waits; a longer one counts as this.
+pub const MAX_DEADLINE_BEFORE_KILL: Duration = Duration::from_secs(3);
 /// Time from the longest client deadline, counted from SIGTERM, to the kill of the process.
 pub const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(700);
 /// Time before the kill of the process by which every response has been written. The process may be paused for 0.15 s
@@ -169,7 +171,8 @@
     /// later may be lost when the process is killed.
     pub fn answer_deadline(&self) -> Option<Duration> {
         let since = self.shutdown_since?;
-        let kill_at = since + self.settings.longest_deadline + KILL_AFTER_DEADLINE;
+        let deadline_before_kill = self.settings.longest_deadline.min(MAX_DEADLINE_BEFORE_KILL);
+        let kill_at = since + deadline_before_kill + KILL_AFTER_DEADLINE;
         Some(kill_at.saturating_sub(ANSWER_MARGIN_BEFORE_KILL))
     }
 }
--- a/crates/gateway/tests/crossings/graceful_shutdown.rs
+++ b/crates/gateway/tests/crossings/graceful_shutdown.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Earliest kill after SIGTERM where a class has a deadline of 3 s or more.
+const EARLIEST_KILL: Duration = Duration::from_millis(3700);
+
 /// Connections in the kernel's queue at SIGTERM are still accepted and answered, even if the client capacity is used up at that moment.
 #[test]
 fn queued_connections_are_answered_after_sigterm_at_full_capacity() {
@@ -109,6 +112,22 @@
     );
 }
 
+/// Guards against a request that gets no answer before the kill, which waits for 3.7 s at most, because a class has a longer deadline.
+#[test]
+fn request_with_a_deadline_of_more_than_three_seconds_is_answered_before_the_earliest_kill() {
+    let endpoint = ScriptedEndpoint::start(|_| Reply::Hang);
+    let (gateway, _discovery) = start("stop-longer", &listed_thirty_times(&endpoint));
+    let mut clients: Vec<_> = ["look", "pay", "once"].map(|class| (class, gateway.connect())).into();
+    clients.iter_mut().for_each(|(class, client)| client.send(class));
+    wait_for("the attempts", || endpoint.count() == 3);
+    gateway.signal("TERM");
+    sleep(EARLIEST_KILL);
+    gateway.signal("KILL");
+    for (class, client) in &mut clients {
+        assert_eq!(client.read().map(|answer| answer.status()), Some(504), "{class}");
+    }
+}
+
 /// A successor that gets SIGTERM before it is ready accepts no connection: waiting clients belong to the active process.
 #[test]
 fn successor_that_gets_sigterm_before_it_is_ready_accepts_no_connection() {
