gateway: give a reader the time that its receive buffer needs to report room

Callers saw a served answer without its end: a client that had read eight long answers fast on one connection and then read one at 64 kB a second was taken for stalled after 10.03 s.

Cause: a full receive buffer reports room only once part of it is free. The buffer had grown to 7.7 MB, and at 64 kB a second the gateway saw nothing for more than 10 s while the client read on.

Evidence: `ss -tm` of the client (its queue falls by 64 kB a second, its memory in steps of 0.26 to 0.56 MB); log `peer takes no byte, connection abandoned blocked_ms=10029`.

Change: a reader counts as stalled after the time in which an eighth of what was sent on its connection, at most of the longest body, is read at the guaranteed 64 kB a second, and after 10 s at least. What was sent bounds the buffer, so the limit stays 10 s up to 5 MB and is 65 s at most. The same for an endpoint that is sent a long body. After a retry that succeeds the next write is tried at once, so that the 10 s begin with a full send buffer.

--- a/crates/control/src/body_streaming.rs
+++ b/crates/control/src/body_streaming.rs
@@ -20,8 +20,13 @@
 /// Time without body data after which a client counts as stopped, regardless of how much it sent before. The error
 /// response to a stopped client is due within 3 s.
 pub const CLIENT_BODY_IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
-/// Longest time that one side of a streamed body may make no progress while the other side waits.
+/// Longest time that one side of a streamed body may make no progress while the other side waits. A reader that was sent much has longer:
+/// see [`reader_stall_timeout`].
 pub const PEER_STALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Rate at which slow readers are guaranteed to be served, in bytes per second.
+const GUARANTEED_READ_BYTES_PER_S: f64 = 64e3;
+/// A full receive buffer is reported to have room again once the reader has freed at most the buffer's size divided by this.
+const RECEIVE_WINDOW_STEP_DIVISOR: u64 = 8;
 /// Time without data after which a buffered response is abandoned if the request may be retried. An endpoint that keeps
 /// the connection open after too few bytes would otherwise hold the request until the attempt times out, too late for a
 /// retry.
@@ -35,6 +40,16 @@
 /// Least number of bytes received before a response without an announced length is streamed.
 const STREAM_UNANNOUNCED_MIN_BYTES: u64 = 4 << 10;
 
+/// Longest time for which a reader may take no byte, where `sent_bytes` were sent on its connection.
+///
+/// A reader takes no byte that the sender could see until it has freed part of its receive buffer, which takes time at the guaranteed
+/// rate. The buffer grows with what is sent on the connection, and is not larger than that.
+pub fn reader_stall_timeout(sent_bytes: u64) -> Duration {
+    let window_step_bytes = sent_bytes.min(MAX_BODY_BYTES) / RECEIVE_WINDOW_STEP_DIVISOR;
+    let window_step_time = Duration::from_secs_f64(window_step_bytes as f64 / GUARANTEED_READ_BYTES_PER_S);
+    PEER_STALL_TIMEOUT.max(window_step_time)
+}
+
 /// Reason why a body did not complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum BodyError {
@@ -135,7 +150,7 @@
         if !has_data || self.waiting_for_client_since.is_some() {
             return None;
         }
-        Some(self.endpoint_progress_at + PEER_STALL_TIMEOUT)
+        Some(self.endpoint_progress_at + reader_stall_timeout(self.received_bytes))
     }
 }
 
--- a/crates/gateway/src/transport/instrumented_stream.rs
+++ b/crates/gateway/src/transport/instrumented_stream.rs
@@ -41,7 +41,9 @@
     /// Tracks the framing of the requests that are written, to find the end of each request.
     write_framing: Option<RefCell<MessageFraming>>,
     linger_timer: Option<Pin<Box<Sleep>>>,
-    /// The wait for room in the kernel's send buffer; `None` while no write waits.
+    /// Number of bytes that the kernel has accepted over the whole life of the connection.
+    sent_bytes: u64,
+    /// The wait for room in the kernel's send buffer; `None` while the poller reports room.
     blocked_write: Option<BlockedWrite>,
 }
 
@@ -55,6 +57,7 @@
             read_framing: None,
             write_framing: None,
             linger_timer: None,
+            sent_bytes: 0,
             blocked_write: None,
         };
         (instrumented, io_state)
@@ -107,15 +110,17 @@
             check_deadline()?;
             write(stream)
         });
-        if written.is_pending() {
+        if written.is_ready() {
+            self.blocked_write = None;
+        } else {
             let blocked_write = self.blocked_write.get_or_insert_with(BlockedWrite::new);
-            written = blocked_write.poll_retry(cx, || {
+            written = blocked_write.poll_retry(cx, self.sent_bytes, || {
                 check_deadline()?;
                 SockRef::from(&*self.stream).send(first_piece)
             });
         }
-        if written.is_ready() {
-            self.blocked_write = None;
+        if let Poll::Ready(Ok(accepted)) = written {
+            self.sent_bytes += accepted as u64;
         }
         // A write that the kernel accepted in part is followed at once by a write of the rest.
         self.io_state.is_write_blocked.set(written.is_pending());
--- a/crates/gateway/tests/day_by_day/slow_readers.rs
+++ b/crates/gateway/tests/day_by_day/slow_readers.rs
@@ -13,6 +13,9 @@
 /// Length of the bodies, in bytes: far more than the kernel buffers on the way hold.
 const BODY_BYTES: u64 = 12 << 20;
 
+/// Length of a body that is longer than a kernel buffer that has grown, in bytes.
+const VERY_LONG_BODY_BYTES: u64 = 31 << 20;
+
 /// Reads a connection at [`GUARANTEED_BYTES_PER_S`] at first, and then as fast as it can.
 struct SlowReader {
     stream: TcpStream,
@@ -79,6 +82,27 @@
     assert_eq!((received.whole, received.length, received.digest), (true, BODY_BYTES, upload.digest()));
 }
 
+/// Guards against an answer that is cut off after 10 s for a client whose receive buffer has grown: its kernel reports no read to the
+/// gateway before a part of the buffer is free, which at 64 kB a second takes longer. The client seems to pause.
+#[test]
+fn client_with_a_large_receive_buffer_seems_to_pause_and_gets_its_answer() {
+    let endpoint = LargeBodyEndpoint::start(LargeBody::new(VERY_LONG_BODY_BYTES, Framing::Length));
+    let (gateway, _discovery) = start("large-buffer", &[endpoint.entry("s-1")]);
+    let mut stream = TcpStream::connect(&gateway.address).expect("connect failed");
+    stream.set_read_timeout(Some(LONG)).expect("set_read_timeout failed");
+    let mut reader = BufReader::new(stream.try_clone().expect("clone of the stream failed"));
+    for pause in [Duration::ZERO, SLOW_FOR] {
+        stream.write_all(request("look").as_bytes()).expect("write of the request failed");
+        sleep(pause);
+        let answer = ReceivedMessage::read(&mut reader, true, Duration::ZERO).expect("no answer");
+        assert_eq!(
+            (answer.status(), answer.whole, answer.length),
+            (200, true, VERY_LONG_BODY_BYTES),
+            "after {pause:?}"
+        );
+    }
+}
+
 /// Guards against a client that takes no byte of a long answer and holds the connections of both sides for as long as it stays.
 #[test]
 fn client_that_takes_no_byte_of_a_long_answer_is_disconnected() {
