gateway: read on after an answer while the request's body is still to come

Callers whose request is answered before its body (413) could have the answer discarded by a reset when they then wrote the body.

Cause: after the end of its sending the gateway reads and drops the client's bytes for up to 1 s, but only where bytes lay unread at that moment. A client that had written only its head by then got none of that time.

Change: the connection is also read on where a message has begun and not ended.

--- a/crates/gateway/src/transport/instrumented_stream.rs
+++ b/crates/gateway/src/transport/instrumented_stream.rs
@@ -205,12 +205,14 @@
         Poll::Ready(Ok(()))
     }
 
-    /// Shuts down the sending side. If bytes of the peer are unread, reads and drops the peer's bytes for up to
-    /// [`MAX_LINGER_AFTER_SHUTDOWN`] before the connection is closed.
+    /// Shuts down the sending side. If bytes of the peer are unread, or the rest of a message is still to come, reads and drops the
+    /// peer's bytes for up to [`MAX_LINGER_AFTER_SHUTDOWN`] before the connection is closed.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.linger_timer.is_none() {
             SockRef::from(&*self.stream).shutdown(Shutdown::Write)?;
-            if !self.probe().has_unread() {
+            let is_inside_message =
+                self.read_framing.as_ref().is_some_and(|framing| framing.borrow().is_inside_message());
+            if !is_inside_message && !self.probe().has_unread() {
                 return Poll::Ready(Ok(()));
             }
         }
--- a/crates/gateway/tests/crossings/connection_closes.rs
+++ b/crates/gateway/tests/crossings/connection_closes.rs
@@ -23,6 +23,25 @@
     assert_eq!(answer.status(), 413);
 }
 
+/// Guards against a reset that discards an answer, because the client had written nothing of its body yet when the gateway closed.
+#[test]
+fn client_that_has_not_begun_its_body_can_write_it_and_read_its_answer() {
+    let (gateway, _discovery) = start("writes-late", &[]);
+    let text = request("once")
+        .replace("Content-Length: 4\r\n\r\nbody", &format!("Content-Length: {}\r\n\r\n", 40 << 20));
+    let mut client = TcpStream::connect(&gateway.address).expect("connect failed");
+    client.set_read_timeout(Some(LONG)).expect("set_read_timeout failed");
+    client.write_all(text.as_bytes()).expect("write of the request head failed");
+    client.peek(&mut [0]).expect("no answer");
+    sleep(Duration::from_millis(50)); // the gateway has written its answer and ended its sending by now
+    for _ in 0..16 {
+        client.write_all(&[b'x'; 64 << 10]).expect("the gateway no longer reads the body");
+        sleep(Duration::from_millis(5)); // a reset by the gateway arrives meanwhile
+    }
+    let answer = weldworks_testbed::scripted::HttpMessage::read(&mut BufReader::new(client));
+    assert_eq!(answer.map(|answer| answer.status()), Some(413));
+}
+
 /// An answer that never ends: the gateway closes its connection in time once the request is over, and serves other requests meanwhile.
 #[test]
 fn endless_answer_affects_only_its_own_request() {
