--- a/crates/control/src/body_streaming.rs
+++ b/crates/control/src/body_streaming.rs
@@ -20,12 +20,11 @@
 /// Time without body data after which a client counts as stopped, regardless of how much it sent before. The error
 /// response to a stopped client is due within 3 s.
 pub const CLIENT_BODY_IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
-/// Longest time that one side of a streamed body may make no progress while the other side waits. A reader that was sent much has longer:
-/// see [`reader_stall_timeout`].
+/// Shortest time without progress after which one side of a streamed body counts as stalled; see also [`reader_stall_timeout`].
 pub const PEER_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Rate at which slow readers are guaranteed to be served, in bytes per second.
 const GUARANTEED_READ_BYTES_PER_S: f64 = 64e3;
-/// A full receive buffer is reported to have room again once the reader has freed at most the buffer's size divided by this.
+/// A receiver whose buffer was full advertises a window again once it has freed the buffer's size divided by this, at the latest.
 const RECEIVE_WINDOW_STEP_DIVISOR: u64 = 8;
 /// Time without data after which a buffered response is abandoned if the request may be retried. An endpoint that keeps
 /// the connection open after too few bytes would otherwise hold the request until the attempt times out, too late for a
@@ -40,10 +39,10 @@
 /// Least number of bytes received before a response without an announced length is streamed.
 const STREAM_UNANNOUNCED_MIN_BYTES: u64 = 4 << 10;
 
-/// Longest time for which a reader may take no byte, where `sent_bytes` were sent on its connection.
+/// Time without progress after which a peer that is sent data counts as stalled, if `sent_bytes` were sent on its connection so far.
 ///
-/// A reader takes no byte that the sender could see until it has freed part of its receive buffer, which takes time at the guaranteed
-/// rate. The buffer grows with what is sent on the connection, and is not larger than that.
+/// While a receiver's buffer is full, the sender sees no progress until the receiver advertises a window again. A peer that reads at the
+/// guaranteed rate must not count as stalled meanwhile. The receive buffer is assumed to be no larger than the data sent so far.
 pub fn reader_stall_timeout(sent_bytes: u64) -> Duration {
     let window_step_bytes = sent_bytes.min(MAX_BODY_BYTES) / RECEIVE_WINDOW_STEP_DIVISOR;
     let window_step_time = Duration::from_secs_f64(window_step_bytes as f64 / GUARANTEED_READ_BYTES_PER_S);
--- a/crates/control/src/drain.rs
+++ b/crates/control/src/drain.rs
@@ -37,7 +37,7 @@
 /// Time after SIGTERM until which the first request of a new connection may still
 /// arrive: the 0.7 s that the shutdown protocol allows, plus a margin of 50 ms.
 pub const FIRST_REQUEST_LIMIT: Duration = Duration::from_millis(750);
-/// Longest client deadline for which the kill of the process waits; a longer one counts as this.
+/// Upper bound of the longest client deadline in the time of the kill: the platform waits no longer for longer deadlines.
 pub const MAX_DEADLINE_BEFORE_KILL: Duration = Duration::from_secs(3);
 /// Time from the longest client deadline, counted from SIGTERM, to the kill of the process.
 pub const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(700);
--- a/crates/gateway/src/server/http/connection.rs
+++ b/crates/gateway/src/server/http/connection.rs
@@ -22,8 +22,8 @@
 use std::time::Duration;
 use tokio::time::{timeout, Instant};
 
-/// Time that a connection has after the start of a graceful close to close or to receive the rest of a head.
-/// While a response is owed, the time for the graceful close starts again.
+/// Time limit of a graceful close, within which the client may also complete a request head. While a response is owed, the limit starts
+/// again.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// How normal service of a client connection ended.
@@ -163,8 +163,8 @@
     .await
 }
 
-/// Marks a client connection as idle when dropped: after a response has been handed to the HTTP library, which may not have written its
-/// end yet.
+/// Marks a client connection as idle when dropped, which is once the whole response has been handed to the HTTP library. The library may
+/// still have to write the end of the response.
 struct InUseGuard {
     server: Rc<Server>,
     client: Rc<ClientConnection>,
--- a/crates/gateway/src/transport/blocked_write.rs
+++ b/crates/gateway/src/transport/blocked_write.rs
@@ -38,8 +38,9 @@
         }
     }
 
-    /// Calls `write`, which must not depend on the readiness that the runtime has recorded, at each interval until it succeeds or fails,
-    /// and at once after a success. The kernel has accepted `sent_bytes` of the connection so far.
+    /// Calls `write` at once if the previous call succeeded, and otherwise at each interval until a call succeeds or fails. `write` must
+    /// not depend on the readiness that the runtime has recorded. `sent_bytes` is the number of bytes that the kernel has accepted on the
+    /// connection so far.
     ///
     /// # Errors
     /// The error of `write`, or `TimedOut` once the kernel has accepted no byte for [`reader_stall_timeout`].
--- a/crates/gateway/src/upstream/response_stream.rs
+++ b/crates/gateway/src/upstream/response_stream.rs
@@ -50,6 +50,16 @@
     }
 }
 
+/// The endpoint's side of a streamed response.
+struct ResponseSource {
+    connection: Connection,
+    connection_closed: bool,
+    /// The part of the body that is still to be read.
+    unread: Incoming,
+    /// Number of bytes of the body that have been read.
+    received_bytes: u64,
+}
+
 impl ConnectionPool {
     /// Streams the response until it is complete, either side disconnects, or the endpoint stalls. The connection is then closed or in
     /// the pool. A client that stalls is disconnected by its own connection.
@@ -60,64 +70,66 @@
         load_report: Option<LoadReport>,
         report: &dyn Fn(AttemptProgress),
     ) -> Outcome {
-        let StreamingResponse { mut connection, mut connection_closed, headers, first_byte_at, body } =
-            response;
-        let PartialBody { buffered, mut unread, length } = body;
+        let StreamingResponse { connection, connection_closed, headers, first_byte_at, body } = response;
+        let PartialBody { buffered, unread, length } = body;
+        let received_bytes = buffered.len() as u64;
         let (chunks, receiver) = mpsc::channel(1);
-        let mut received_bytes = buffered.len() as u64;
         let _ = chunks.try_send(ResponseChunk::Data(buffered)); // the channel's capacity is one chunk
         let body = ResponseBody::streaming(length, receiver);
         let response = Box::new(UpstreamResponse { headers, body });
         report(AttemptProgress::ResponseStarted { response, first_byte_at, load_report });
-        let early_end = loop {
-            let frame = next_frame(&mut unread, &mut connection, &mut connection_closed);
+        let mut source = ResponseSource { connection, connection_closed, unread, received_bytes };
+        if let Err(early_end) = source.forward_to(&chunks).await {
+            let received_bytes = source.received_bytes;
+            let streamed_ms = first_byte_at.elapsed().as_millis() as u64;
+            debug!(reason = ?early_end, received_bytes, streamed_ms, "streamed response ended early");
+            return early_end.outcome();
+        }
+        if !source.connection_closed {
+            self.put_back(source.connection, endpoint).await;
+        }
+        let _ = chunks.send(ResponseChunk::End).await;
+        Outcome::Served
+    }
+}
+
+impl ResponseSource {
+    /// Reads the rest of the body and hands it to the client's connection, each chunk once that connection takes it.
+    async fn forward_to(&mut self, chunks: &mpsc::Sender<ResponseChunk>) -> Result<(), EarlyEnd> {
+        loop {
             let frame = tokio::select! {
                 biased;
-                () = chunks.closed() => break EarlyEnd::ClientConnectionEnded,
-                frame = timeout(PEER_STALL_TIMEOUT, frame) => frame,
+                () = chunks.closed() => return Err(EarlyEnd::ClientConnectionEnded),
+                frame = timeout(PEER_STALL_TIMEOUT, self.next_frame()) => frame,
             };
-            let data = match frame {
-                Ok(Some(Ok(frame))) => frame.into_data(),
-                Ok(None) => {
-                    if !connection_closed {
-                        self.put_back(connection, endpoint).await;
-                    }
-                    let _ = chunks.send(ResponseChunk::End).await;
-                    return Outcome::Served;
-                }
-                Ok(Some(Err(_))) => break EarlyEnd::EndpointFailed,
-                Err(_) => break EarlyEnd::EndpointStalled,
+            let frame = match frame {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(_))) => return Err(EarlyEnd::EndpointFailed),
+                Ok(None) => return Ok(()),
+                Err(_) => return Err(EarlyEnd::EndpointStalled),
             };
-            let Ok(data) = data else { continue }; // trailers are not forwarded: they belong to the endpoint's connection
-            received_bytes += data.len() as u64;
-            if received_bytes > MAX_BODY_BYTES {
-                break EarlyEnd::TooLong;
-            }
-            if chunks.send(ResponseChunk::Data(data)).await.is_err() {
-                break EarlyEnd::ClientConnectionEnded;
+            let Ok(data) = frame.into_data() else { continue }; // trailers are not forwarded: they belong to the endpoint's connection
+            self.received_bytes += data.len() as u64;
+            if self.received_bytes > MAX_BODY_BYTES {
+                return Err(EarlyEnd::TooLong);
             }
-        };
-        let streamed_ms = first_byte_at.elapsed().as_millis() as u64;
-        debug!(reason = ?early_end, received_bytes, streamed_ms, "streamed response ended early");
-        early_end.outcome()
+            let sent = chunks.send(ResponseChunk::Data(data)).await;
+            sent.map_err(|_| EarlyEnd::ClientConnectionEnded)?;
+        }
     }
-}
 
-/// Reads the next frame of the body, and drives the connection meanwhile.
-async fn next_frame(
-    body: &mut Incoming,
-    connection: &mut Connection,
-    connection_closed: &mut bool,
-) -> Option<Result<Frame<Bytes>, hyper::Error>> {
-    poll_fn(|cx| {
-        let frame = Pin::new(&mut *body).poll_frame(cx);
-        if frame.is_ready() {
-            return frame;
-        }
-        if !*connection_closed {
-            *connection_closed = connection.driver.as_mut().poll(cx).is_ready();
-        }
-        Pin::new(&mut *body).poll_frame(cx)
-    })
-    .await
+    /// Reads the next frame of the body, and drives the connection meanwhile.
+    async fn next_frame(&mut self) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+        poll_fn(|cx| {
+            let frame = Pin::new(&mut self.unread).poll_frame(cx);
+            if frame.is_ready() {
+                return frame;
+            }
+            if !self.connection_closed {
+                self.connection_closed = self.connection.driver.as_mut().poll(cx).is_ready();
+            }
+            Pin::new(&mut self.unread).poll_frame(cx)
+        })
+        .await
+    }
 }
--- a/crates/gateway/tests/day_by_day/slow_readers.rs
+++ b/crates/gateway/tests/day_by_day/slow_readers.rs
@@ -12,7 +12,6 @@
 const SLOW_FOR: Duration = Duration::from_secs(15);
 /// Length of the bodies, in bytes: far more than the kernel buffers on the way hold.
 const BODY_BYTES: u64 = 12 << 20;
-
 /// Length of a body that is longer than a kernel buffer that has grown, in bytes.
 const VERY_LONG_BODY_BYTES: u64 = 31 << 20;
 
