--- a/crates/gateway/tests/day_by_day/main.rs
+++ b/crates/gateway/tests/day_by_day/main.rs
@@ -19,8 +19,8 @@
 mod bodies;
 mod hot_restart;
 mod settings;
-mod slow_departures;
 mod slow_readers;
+mod unwritten_responses;
 
 static PROGRAM: LazyLock<Program> = LazyLock::new(|| {
     let folder = own_run_folder(env!("CARGO_TARGET_TMPDIR"));
--- a/crates/gateway/tests/day_by_day/slow_readers.rs
+++ b/crates/gateway/tests/day_by_day/slow_readers.rs
@@ -106,7 +106,7 @@
 #[test]
 fn client_that_takes_no_byte_of_a_long_answer_is_disconnected() {
     let endpoint = LargeBodyEndpoint::start(LargeBody::new(BODY_BYTES, Framing::Length));
-    let (gateway, _discovery) = start("deaf-client", &[endpoint.entry("s-1")]);
+    let (gateway, _discovery) = start("stalled-client", &[endpoint.entry("s-1")]);
     let mut client = TcpStream::connect(&gateway.address).expect("connect failed");
     client.write_all(request("look").as_bytes()).expect("write of the request failed");
     wait_for("the close of the endpoint connection", || endpoint.left.load(Ordering::SeqCst) == 1);
--- a/crates/gateway/tests/day_by_day/slow_departures.rs
+++ b/crates/gateway/tests/day_by_day/unwritten_responses.rs
@@ -1,7 +1,7 @@
-//! The last bytes of a long answer while the process that sends them is drained, told to end, or replaced.
+//! The last bytes of a long answer, which the gateway can't write yet, while the gateway drains, shuts down, or is replaced.
 //!
-//! The kernel holds as much of the answer as it has room for, and the gateway holds the rest. The client reads nothing for a while, as a
-//! slow client seems to do while its receive buffer is full.
+//! The kernel's queues hold as much of the answer as they have room for, and the gateway holds the rest. The client reads nothing for a
+//! while: to the gateway, a slow client whose receive buffer is full looks the same.
 
 use super::*;
 use std::io::BufReader;
@@ -64,11 +64,11 @@
     }
 }
 
-/// Has a client ask for a long answer and pause while the gateway holds the answer's end; `depart` then asks the gateway to close its
-/// connections. The client must get the whole answer.
-fn answer_outlives_departure(
+/// Sends a request for a long answer and reads nothing of the answer, so that the gateway holds the answer's end. `request_close` then
+/// asks the gateway to close its connections. After a pause, the client must be able to read the whole answer.
+fn check_answer_is_completed_after(
+    request_close: impl Fn(&Gateway),
     start: impl Fn(&[Value]) -> (Gateway, ScriptedDiscovery),
-    depart: impl Fn(&Gateway),
 ) -> Gateway {
     let listener = TcpListener::bind("127.0.0.1:0").expect("bind failed");
     let endpoint_address = listener.local_addr().expect("no local address").to_string();
@@ -83,7 +83,7 @@
     stream.write_all(request("look").as_bytes()).expect("write of the request failed");
     let answer_bytes = endpoint.join().expect("endpoint thread panicked");
     wait_for("the end of the answer's read", || gateway.metric("router_current") == Some(0));
-    depart(&gateway);
+    request_close(&gateway);
     sleep(PAUSE);
     stream.set_read_timeout(Some(LONG)).expect("set_read_timeout failed");
     let answer = ReceivedMessage::read(&mut BufReader::new(stream), true, Duration::ZERO).expect("no answer");
@@ -95,15 +95,15 @@
 #[test]
 fn last_bytes_of_an_answer_are_delivered_in_a_drain() {
     let drain = |gateway: &Gateway| assert_eq!(gateway.call("PUT", "/_lameduck/on").status(), 200);
-    answer_outlives_departure(|endpoints| start("last-drain", endpoints), drain);
+    check_answer_is_completed_after(drain, |endpoints| start("last-drain", endpoints));
 }
 
-/// Guards against the same loss in a process that is told to end.
+/// Guards against the same loss in a process that shuts down.
 #[test]
 fn last_bytes_of_an_answer_are_delivered_after_sigterm() {
-    let mut gateway = answer_outlives_departure(
-        |endpoints| start("last-stop", endpoints),
+    let mut gateway = check_answer_is_completed_after(
         |gateway| gateway.signal("TERM"),
+        |endpoints| start("last-stop", endpoints),
     );
     assert!(gateway.wait().success());
 }
@@ -117,6 +117,6 @@
         let config = config_with_admin_api(&discovery, endpoints);
         (Gateway::start_shared(&PROGRAM, "last-replaced", &discovery, &config, &listener), discovery)
     };
-    let mut gateway = answer_outlives_departure(start_shared, |gateway| gateway.signal("TERM"));
+    let mut gateway = check_answer_is_completed_after(|gateway| gateway.signal("TERM"), start_shared);
     assert!(gateway.wait().success());
 }
