review: drop cases 6 and 7, which earlier ones show; renumber, new stand-ins

Need: the issue asks to drop a case that an earlier one already shows, and to put the gravest first. Change: case 6 (a late second answer) is review/1, and case 7 (requests behind idle clients) is review/2: both removed with their scenarios. The SIGTERM case becomes one that needs no restart, and an entry that could be shown is new.

--- a/review/standin-2/client.rs
+++ b/review/standin-2/client.rs
@@ -14,24 +14,37 @@
     format!("{:016x}", NEXT_ID.fetch_add(1, Ordering::SeqCst))
 }
 
-/// A request of a class; `keyed` classes come as POST with an idempotency key and this many bytes of body.
-pub fn request(class: &str, keyed: bool, id: &str, timeout_ms: u64, body_bytes: usize) -> Vec<u8> {
-    let method = if keyed { "POST" } else { "GET" };
-    let mut text = format!(
-        "{method} /{class} HTTP/1.1\r\nHost: backend.local\r\nX-Request-ID: {id}\r\n\
-         X-Priority-Class: {class}\r\nX-Tenant-Id: civica-centro\r\nCookie: k=7f3a{id}\r\nX-Timeout: {timeout_ms}m\r\n"
-    );
-    if keyed {
-        text.push_str(&format!("Idempotency-Key: 5c0f6e1a{id}\r\nContent-Length: {body_bytes}\r\n"));
-    }
-    text.push_str("\r\n");
-    let mut bytes = text.into_bytes();
-    if keyed {
-        bytes.extend(std::iter::repeat_n(b'b', body_bytes));
-    }
+/// A keyed request of a class, with a key of its own and this many bytes of body.
+pub fn keyed_request(class: &str, id: &str, timeout_ms: u64, body_bytes: usize) -> Vec<u8> {
+    keyed(class, &format!("5c0f6e1a{id}"), id, timeout_ms, body_bytes)
+}
+
+/// A keyed request of a class with this key, which a client's retry shares with its first try.
+pub fn request_with_key(class: &str, key: &str, id: &str, timeout_ms: u64) -> Vec<u8> {
+    keyed(class, key, id, timeout_ms, 212)
+}
+
+fn keyed(class: &str, key: &str, id: &str, timeout_ms: u64, body_bytes: usize) -> Vec<u8> {
+    let fields = format!("Idempotency-Key: {key}\r\nContent-Length: {body_bytes}\r\n");
+    let mut bytes = head("POST", class, id, timeout_ms, &fields);
+    bytes.extend(std::iter::repeat_n(b'b', body_bytes));
     bytes
 }
 
+/// A request of a class that is safe to repeat.
+pub fn safe_request(class: &str, id: &str, timeout_ms: u64) -> Vec<u8> {
+    head("GET", class, id, timeout_ms, "")
+}
+
+fn head(method: &str, class: &str, id: &str, timeout_ms: u64, fields: &str) -> Vec<u8> {
+    format!(
+        "{method} /{class} HTTP/1.1\r\nHost: backend.local\r\nX-Request-ID: {id}\r\n\
+         X-Priority-Class: {class}\r\nX-Tenant-Id: civica-centro\r\nCookie: k=7f3a{id}\r\n\
+         X-Timeout: {timeout_ms}m\r\n{fields}\r\n"
+    )
+    .into_bytes()
+}
+
 /// A client that sends one request at a time, keeps its connection, and sends a request once more on a new connection where the
 /// gateway closed the old one between requests.
 pub struct Client {
@@ -45,6 +58,11 @@
         Client { address, record: record.clone(), connection: None }
     }
 
+    /// Whether the connection is kept after the last answer.
+    pub fn is_connected(&self) -> bool {
+        self.connection.is_some()
+    }
+
     fn send_on_kept(&mut self, bytes: &[u8]) -> std::io::Result<Option<Message>> {
         if self.connection.is_none() {
             let stream = connect(self.address, Duration::from_secs(4))?;
--- a/review/standin-2/drain_polls.rs
+++ b/review/standin-2/drain_polls.rs
@@ -1,11 +1,11 @@
 //! The open watches end just before a host drains, and discovery, which has too many callers for a while, turns two of three calls away.
 //! The change counts as told 6 s later at the latest; 2 s after that the host may get nothing new.
 
-use crate::client::{new_id, request, Client};
+use crate::client::{new_id, safe_request, Client};
 use crate::discovery::Discovery;
 use crate::host::{Hosts, Work};
 use crate::net::Message;
-use crate::site::{entries, host_name, start_gateways, SOCKETS};
+use crate::site::{entries, host_name, start_gateways};
 use crate::{CaseResult, Setting, Verdict};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -25,10 +25,7 @@
 
 pub fn run(setting: &Setting) -> CaseResult {
     let record = &setting.record;
-    let plan = Arc::new(|_: usize, _: &Message| Work {
-        takes: Duration::from_millis(40),
-        second_answer_after: None,
-    });
+    let plan = Arc::new(|_: usize, _: &Message| Work::of(Duration::from_millis(40)));
     let hosts = Hosts::start(HOSTS, record, plan)?;
     let is_crowded = Arc::new(AtomicBool::new(false));
     let calls = Arc::new(AtomicU64::new(0));
@@ -38,7 +35,7 @@
             && !(counted.fetch_add(1, Ordering::SeqCst) + 1).is_multiple_of(ANSWERED_ONE_IN)
     });
     let discovery = Discovery::start(GATEWAYS, entries(&hosts), record, "discovery", turn_away)?;
-    let mut gateways = start_gateways(setting, GATEWAYS, &discovery, SOCKETS)?;
+    let mut gateways = start_gateways(setting, GATEWAYS, &discovery)?;
     let is_over = Arc::new(AtomicBool::new(false));
     let clients: Vec<_> = gateways
         .iter()
@@ -48,7 +45,7 @@
                 let mut client = Client::new(address, &record);
                 while !is_over.load(Ordering::SeqCst) {
                     let id = new_id();
-                    client.send(&id, &request("timetable", false, &id, 600, 0));
+                    client.send(&id, &safe_request("timetable", &id, 600));
                     thread::sleep(Duration::from_millis(30));
                 }
             })
--- a/review/standin-2/gateway.rs
+++ b/review/standin-2/gateway.rs
@@ -1,4 +1,4 @@
-//! Starts gateways with the `run` command of the deploy file, and signals them.
+//! Starts gateways with the `run` command of the deploy file, and ends them.
 
 use crate::net::{connect, Reader};
 use crate::record::Record;
@@ -11,12 +11,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
-}
-
-const SIGTERM: i32 = 15;
-
 /// A running gateway, killed when this is dropped.
 pub struct Gateway {
     pub name: String,
@@ -87,12 +81,6 @@
         matches!(answer, Ok(Some(answer)) if answer.status() == 200)
     }
 
-    /// Sends SIGTERM, as at a planned restart.
-    pub fn terminate(&self) {
-        // SAFETY: `kill` takes two numbers; the process is a child that has not been waited for.
-        unsafe { kill(self.child.id() as i32, SIGTERM) };
-    }
-
     /// Kills the process outright and copies the last lines of its log into the record.
     pub fn finish(&mut self, record: &Record) {
         let _ = self.child.kill();
@@ -123,6 +111,8 @@
     pub family_info: &'a str,
     /// `limits.sockets`.
     pub sockets: usize,
+    /// `dedup_window_s` of the class `enrol-pay`, whose repeats all hosts drop for so long.
+    pub enrol_pay_window_s: f64,
 }
 
 impl Config<'_> {
@@ -136,6 +126,7 @@
             .replace("@NAME", &self.name())
             .replace("@RANK", &self.rank.to_string())
             .replace("@FLEET_SIZE", &self.fleet_size.to_string())
+            .replace("@ENROL_PAY_WINDOW_S", &self.enrol_pay_window_s.to_string())
             .replace("@SOCKETS", &self.sockets.to_string())
             .replace("@LISTEN", &self.listen.to_string())
             .replace("@DISCOVERY", &self.discovery.to_string())
@@ -152,7 +143,7 @@
 "classes":[
 {"deadline_s":1.2,"dedup_window_s":5.0,"effect":"free","group":"all","importance":2.0,"late_worth":0.0,"name":"timetable","promise_s":0.3,"streaming":false},
 {"deadline_s":0.8,"dedup_window_s":5.0,"effect":"free","group":"all","importance":3.0,"late_worth":0.0,"name":"room-status","promise_s":0.2,"streaming":false},
-{"deadline_s":1.2,"dedup_window_s":1.2,"effect":"guarded","group":"all","importance":8.0,"late_worth":0.0,"name":"enrol-pay","promise_s":0.3,"streaming":false},
+{"deadline_s":1.2,"dedup_window_s":@ENROL_PAY_WINDOW_S,"effect":"guarded","group":"all","importance":8.0,"late_worth":0.0,"name":"enrol-pay","promise_s":0.3,"streaming":false},
 {"deadline_s":1.2,"dedup_window_s":1.2,"effect":"guarded","group":"cell","importance":3.0,"late_worth":0.0,"name":"book-room","promise_s":0.6,"streaming":false}],
 "client_habits":{"marks_retry":true},
 "costs":{"connection":0.0,"cross_zone":0.02,"discovery":0.0,"handshake":0.0,"late_fail":0.03,"moves":0.0,"origin":0.0,"peer":0.0,"probe":0.0,"waste":0.2},
--- a/review/standin-2/host.rs
+++ b/review/standin-2/host.rs
@@ -2,7 +2,6 @@
 
 use crate::net::{respond, Message, Reader};
 use crate::record::Record;
-use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -22,10 +21,20 @@
 /// What a host does with a request.
 pub struct Work {
     pub takes: Duration,
-    /// A second answer, written so long after the first.
-    pub second_answer_after: Option<Duration>,
+    /// Whether the host hangs in the middle of the work: the request has run, and no answer comes.
+    pub hangs: bool,
 }
 
+impl Work {
+    /// Work that takes so long and is answered.
+    pub fn of(takes: Duration) -> Work {
+        Work { takes, hangs: false }
+    }
+}
+
+/// How long a connection of a host that hangs stays open and silent.
+const HANGS_FOR: Duration = Duration::from_secs(60);
+
 pub type Plan = Arc<dyn Fn(usize, &Message) -> Work + Send + Sync>;
 
 #[derive(Clone)]
@@ -96,7 +105,7 @@
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(Duration::from_secs(10)))?; // keepalive_s: an idle connection is closed
     let mut reader = Reader::new(stream.try_clone()?);
-    let writer = Arc::new(Mutex::new(stream));
+    let mut writer = stream;
     while let Some(request) = reader.message()? {
         let id = request.header("x-request-id").unwrap_or_default().to_owned();
         let timeout = request.header("x-timeout").and_then(timeout_of);
@@ -110,23 +119,15 @@
         in_hand.fetch_add(1, Ordering::SeqCst);
         let work = plan(host, &request);
         thread::sleep(work.takes);
+        if work.hangs {
+            record.line(&format!("host{host} has run {id} and hangs"));
+            thread::sleep(HANGS_FOR);
+            return Ok(());
+        }
         let held = in_hand.fetch_sub(1, Ordering::SeqCst) - 1;
         let report = format!("X-Server-Load: TEXT throughput=10.0, outstanding={held}\r\n");
-        if let Ok(mut writer) = writer.lock() {
-            respond(&mut writer, "200 OK", &report, &body_of(&id))?;
-        }
+        respond(&mut writer, "200 OK", &report, &body_of(&id))?;
         record.line(&format!("host{host} answered {id}"));
-        if let Some(after) = work.second_answer_after {
-            let (writer, record) = (writer.clone(), record.clone());
-            thread::spawn(move || {
-                thread::sleep(after);
-                if let Ok(mut writer) = writer.lock() {
-                    let sent =
-                        respond(&mut writer, "200 OK", "", &body_of(&id)).and_then(|()| writer.flush());
-                    record.line(&format!("host{host} wrote a second answer to {id}: {sent:?}"));
-                }
-            });
-        }
     }
     Ok(())
 }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -11,11 +11,11 @@
 mod record;
 mod site;
 
-mod crowd;
 mod drain_polls;
-mod foreign;
+mod pipeline_close;
 mod pipeline_late;
-mod pipeline_term;
+
+mod refused_window;
 
 use record::Record;
 use std::path::PathBuf;
@@ -67,10 +67,9 @@
         exit(2);
     });
     let result = match case.as_str() {
-        "foreign" => foreign::run(&setting),
-        "crowd" => crowd::run(&setting),
         "pipeline-late" => pipeline_late::run(&setting),
-        "pipeline-term" => pipeline_term::run(&setting),
+        "refused-window" => refused_window::run(&setting),
+        "pipeline-close" => pipeline_close::run(&setting),
         "drain-polls" => drain_polls::run(&setting),
         _ => Err("no such case".into()),
     };
--- a/review/standin-2/pipeline_late.rs
+++ b/review/standin-2/pipeline_late.rs
@@ -1,11 +1,11 @@
 //! A client sends many commands at once on one connection. Each has to get its final answer within its time and half a second.
 
-use crate::client::{new_id, request, Client};
+use crate::client::{keyed_request, new_id, Client};
 use crate::discovery::Discovery;
 use crate::host::{Hosts, Work};
 use crate::net::{connect, Message, Reader};
 use crate::record::Record;
-use crate::site::{entries, start_gateways, SOCKETS};
+use crate::site::{entries, start_gateways};
 use crate::{CaseResult, Setting, Verdict};
 use std::collections::HashMap;
 use std::io::Write;
@@ -34,15 +34,15 @@
 
 pub fn run(setting: &Setting) -> CaseResult {
     let record = &setting.record;
-    let plan = Arc::new(|_: usize, _: &_| Work { takes: HOST_WORK, second_answer_after: None });
+    let plan = Arc::new(|_: usize, _: &_| Work::of(HOST_WORK));
     let hosts = Hosts::start(4, record, plan)?;
     let discovery = Discovery::start(1, entries(&hosts), record, "discovery", Arc::new(|_| false))?;
-    let mut gateways = start_gateways(setting, 1, &discovery, SOCKETS)?;
+    let mut gateways = start_gateways(setting, 1, &discovery)?;
     let address = gateways[0].address;
     let mut usual = Client::new(address, record);
     for _ in 0..20 {
         let id = new_id();
-        usual.send(&id, &request("book-room", true, &id, 600, BODY_BYTES));
+        usual.send(&id, &keyed_request("book-room", &id, 600, BODY_BYTES));
     }
     let mut all = Vec::new();
     for round in 0..ROUNDS {
@@ -91,7 +91,7 @@
     let mut sent = Vec::new();
     for _ in 0..COMMANDS {
         let id = new_id();
-        stream.write_all(&request("book-room", true, &id, TIMEOUT.as_millis() as u64, BODY_BYTES))?;
+        stream.write_all(&keyed_request("book-room", &id, TIMEOUT.as_millis() as u64, BODY_BYTES))?;
         sent.push(Sent { id, written_at: Instant::now(), answered_at: None, status: 0 });
     }
     for command in &mut sent {
@@ -108,7 +108,7 @@
     let mut sent = Vec::new();
     for _ in 0..COMMANDS {
         let id = new_id();
-        let bytes = request("book-room", true, &id, TIMEOUT.as_millis() as u64, BODY_BYTES);
+        let bytes = keyed_request("book-room", &id, TIMEOUT.as_millis() as u64, BODY_BYTES);
         let written_at = Instant::now();
         let answer = client.send(&id, &bytes);
         let status = answer.as_ref().map_or(0, Message::status);
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -7,10 +7,10 @@
 use std::net::SocketAddr;
 
 /// The text of `family_info` in the operators' example.
-pub const WARM_KEYS: &str = "{\"warm_keys\":true}";
+const WARM_KEYS: &str = "{\"warm_keys\":true}";
 
-/// Descriptors of a gateway where a case needs no other number.
-pub const SOCKETS: usize = 1024;
+/// Descriptors of a gateway.
+const SOCKETS: usize = 256;
 
 /// The entries of these hosts, all active.
 pub fn entries(hosts: &Hosts) -> Vec<Entry> {
@@ -28,12 +28,24 @@
     format!("s-{host}")
 }
 
+/// `dedup_window_s` of `enrol-pay` in the operators' example.
+const ENROL_PAY_WINDOW_S: f64 = 1.2;
+
 /// Starts this many gateways and waits until all are ready.
 pub fn start_gateways(
     setting: &Setting,
     count: usize,
     discovery: &Discovery,
-    sockets: usize,
+) -> Result<Vec<Gateway>, Box<dyn std::error::Error>> {
+    start_gateways_with(setting, count, discovery, ENROL_PAY_WINDOW_S)
+}
+
+/// The same with another window for repeats of `enrol-pay`.
+pub fn start_gateways_with(
+    setting: &Setting,
+    count: usize,
+    discovery: &Discovery,
+    enrol_pay_window_s: f64,
 ) -> Result<Vec<Gateway>, Box<dyn std::error::Error>> {
     let mut gateways = Vec::new();
     for rank in 0..count {
@@ -44,7 +56,8 @@
             discovery: discovery.addresses[rank],
             known: discovery.known(),
             family_info: WARM_KEYS,
-            sockets,
+            sockets: SOCKETS,
+            enrol_pay_window_s,
         };
         gateways.push(Gateway::start(setting, &config)?);
     }
