--- a/review/standin-2/drain_polls.rs
+++ b/review/standin-2/drain_polls.rs
@@ -1,4 +1,5 @@
-//! The open watches end just before a host drains, and discovery, which has too many callers for a while, turns two of three calls away.
+//! The open watches end two seconds before a host drains, and discovery, which has too many callers for a while, turns three of four calls
+//! away.
 //! The change counts as told 6 s later at the latest; 2 s after that the host may get nothing new.
 
 use crate::client::{new_id, safe_request, Client};
@@ -12,12 +13,15 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-const GATEWAYS: usize = 16;
+const GATEWAYS: usize = 24;
 const HOSTS: usize = 6;
 const DRAINING: usize = 1;
-/// While discovery has too many callers, it answers one call of three.
-const ANSWERED_ONE_IN: u64 = 3;
+/// While discovery has too many callers, it answers one call of four.
+const ANSWERED_ONE_IN: u64 = 4;
+/// It has too many callers from the end of the watches until so long after the drain.
 const CROWDED_FOR: Duration = Duration::from_secs(12);
+/// "All open watches are reset some seconds before hosts begin to drain."
+const WATCHES_END_BEFORE: Duration = Duration::from_secs(2);
 /// "A change counts as told at the latest 6 s after discovery had it and could be reached."
 const TOLD_AFTER: Duration = Duration::from_secs(6);
 /// `safety.stop_sending_within_s`, and "each time limit is 50 ms longer".
@@ -57,7 +61,7 @@
         discovery.end_watches();
         record.say("all open watches end, discovery has too many callers");
     }
-    thread::sleep(Duration::from_millis(200));
+    thread::sleep(WATCHES_END_BEFORE);
     discovery.set_status(&host_name(DRAINING), "leaving");
     let draining_at = Instant::now();
     record.say("s-1 drains");
