discovery polling: make the first poll within 4 s whatever the interval

Callers: none known (all sites poll every 10 s). With a longer interval a gateway that has just started would send requests to an endpoint for too long after its drain.

Cause: the first poll is drawn from 0.4 of the poll interval, with no limit: 8 s at 20 s, and 2.4 s for the poll itself, where 6 s and 2 s of grace are allowed.

Change: the first poll comes within 4 s.

--- a/crates/balancer/src/discovery_polling.rs
+++ b/crates/balancer/src/discovery_polling.rs
@@ -9,6 +9,9 @@
 const NOTIFICATION_DEADLINE_S: f64 = 6.0;
 /// Longest time until discovery answers a poll, including the wait for a connection, in seconds.
 const MAX_POLL_DURATION_S: f64 = 2.4;
+/// Longest delay of the first poll, in seconds: with the poll's duration this ends within the grace of drains after
+/// the notification deadline, and it spreads the polls of gateways that start together.
+const MAX_FIRST_POLL_DELAY_S: f64 = 4.0;
 /// Shortest jitter window before a poll, in seconds.
 const MIN_JITTER_WINDOW_S: f64 = 0.3;
 /// Jitter window after a change to another discovery service, in seconds:
@@ -245,7 +248,7 @@
     let fraction = (BACKOFF_WINDOW_FRACTION * 2f64.powi(doublings)).min(MAX_BACKOFF_WINDOW_FRACTION);
     let window_s = interval_s * fraction;
     if history == PollHistory::NotStarted {
-        return window_s;
+        return window_s.min(MAX_FIRST_POLL_DELAY_S);
     }
     let remaining_s = NOTIFICATION_DEADLINE_S - MAX_POLL_DURATION_S - silent_s;
     window_s.min(remaining_s.max(MIN_JITTER_WINDOW_S))
--- a/crates/control/tests/discovery_polling.rs
+++ b/crates/control/tests/discovery_polling.rs
@@ -184,6 +184,22 @@
     }
 }
 
+/// Discovery is polled rarely, and an endpoint drains just after a gateway has started. The first poll was spread over 0.4 of
+/// the interval however long that is, so the gateway sent requests to the endpoint for longer than allowed.
+#[test]
+fn the_first_poll_after_a_start_is_in_time_where_polls_are_rare() {
+    for interval in [10, 20, 60].map(Duration::from_secs) {
+        for seed in 0..100 {
+            let mut gateway = PollingGateway::new(interval, seed);
+            let started_at = gateway.now;
+            gateway.poll();
+            let known_after = gateway.now + DISCOVERY_ANSWER_TIME - started_at;
+            let limit = MAX_NOTIFICATION_DELAY + DRAIN_GRACE;
+            assert!(known_after <= limit, "interval {interval:?}, seed {seed}: {known_after:?}");
+        }
+    }
+}
+
 /// Discovery fails and the polls of 350 gateways fail at once. Polls in step, or too many polls, would keep discovery
 /// down: each gateway polls less than once a second on the mean, and the polls are spread.
 #[test]
