gateway: wait for a long answer that its endpoint writes with pauses

Cause: limits for short answers held for long ones. 100 ms without a byte end an attempt while less than 64 KiB have come, buffering ends only with a further byte, and the attempt's deadline is the objective, though only the start of a long answer is due, by the client's time.

Change: an answer of status 200 that announces over 64 KiB or no length is waited for 2.5 s without a byte, and beyond the objective up to the client's time (2.5 s from its head without a length). Buffering ends by time. An announced head is forwarded just before the client's time ends. Why it works: only what can't be long is still ended by the limits for short answers.

--- a/crates/control/src/body_streaming.rs
+++ b/crates/control/src/body_streaming.rs
@@ -26,10 +26,17 @@
 const GUARANTEED_READ_BYTES_PER_S: f64 = 64e3;
 /// A receiver whose buffer was full advertises a window again once it has freed the buffer's size divided by this, at the latest.
 const RECEIVE_WINDOW_STEP_DIVISOR: u64 = 8;
-/// Time without data after which a buffered response is abandoned if the request may be retried. An endpoint that keeps
+/// Time without data after which a short response is abandoned if the request may be retried. An endpoint that keeps
 /// the connection open after too few bytes would otherwise hold the request until the attempt times out, too late for a
 /// retry.
 const BUFFERED_RESPONSE_IDLE_TIMEOUT: Duration = Duration::from_millis(100);
+/// The same for a response that may be long: an endpoint may write a long response slowly and with pauses.
+const LONG_RESPONSE_IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Time after its head within which a response without an announced length must prove to be long
+/// to be waited for beyond the deadline of its attempt.
+const UNANNOUNCED_RESPONSE_EXTENSION: Duration = Duration::from_millis(2500);
+/// Time before the client's deadline at which the start of a long response is forwarded, so that it arrives in time.
+const RESPONSE_START_MARGIN: Duration = Duration::from_millis(10);
 /// Time after the first byte from which a response is streamed
 /// if its announced length exceeds [`MAX_BUFFERED_BODY_BYTES`].
 const STREAM_ANNOUNCED_AFTER: Duration = Duration::from_millis(40);
@@ -153,6 +160,55 @@
     }
 }
 
+/// How long a response may be, by its head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExpectedLength {
+    /// At most [`MAX_BUFFERED_BODY_BYTES`], or not a response that serves a request.
+    Short,
+    /// Not announced: more than [`MAX_BUFFERED_BODY_BYTES`] is possible.
+    Unannounced,
+    /// More than [`MAX_BUFFERED_BODY_BYTES`].
+    Long,
+}
+
+impl ExpectedLength {
+    /// The expected length of a response that serves its request, whose `Content-Length` is `announced_bytes`.
+    pub fn of_served(announced_bytes: Option<u64>) -> ExpectedLength {
+        match announced_bytes {
+            None => ExpectedLength::Unannounced,
+            Some(announced) if announced > MAX_BUFFERED_BODY_BYTES as u64 => ExpectedLength::Long,
+            Some(_) => ExpectedLength::Short,
+        }
+    }
+
+    /// How long after its head the response is waited for beyond the deadline of its attempt, within the client's deadline:
+    /// only the start of a long response is due by then. `None` for no longer than the deadline of its attempt.
+    pub fn deadline_extension(self) -> Option<Duration> {
+        match self {
+            ExpectedLength::Short => None,
+            ExpectedLength::Unannounced => Some(UNANNOUNCED_RESPONSE_EXTENSION),
+            ExpectedLength::Long => Some(Duration::MAX),
+        }
+    }
+
+    /// How long before the client's deadline the response's head is forwarded, although nothing of the body has arrived;
+    /// `None` for a response that is answered with an error instead.
+    pub fn start_margin(self) -> Option<Duration> {
+        match self {
+            ExpectedLength::Long => Some(RESPONSE_START_MARGIN),
+            ExpectedLength::Short | ExpectedLength::Unannounced => None,
+        }
+    }
+
+    /// Time without data after which the response is abandoned if the request may be retried.
+    fn idle_timeout(self) -> Duration {
+        match self {
+            ExpectedLength::Short => BUFFERED_RESPONSE_IDLE_TIMEOUT,
+            ExpectedLength::Unannounced | ExpectedLength::Long => LONG_RESPONSE_IDLE_TIMEOUT,
+        }
+    }
+}
+
 /// What to do with a response while it is received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BufferingDecision {
@@ -197,6 +253,12 @@
         BufferingDecision::KeepBuffering
     }
 
+    /// When the decision changes although nothing more is received, on the clock of the other methods;
+    /// `None` where only further data changes it.
+    pub fn next_decision_at(&self) -> Option<Duration> {
+        Some(self.first_byte_at? + self.stream_after()?)
+    }
+
     /// Whether the announced or the received length exceeds a limit, in bytes.
     fn exceeds(&self, limit: u64) -> bool {
         self.received_bytes > limit || self.announced_bytes.is_some_and(|announced| announced > limit)
@@ -204,23 +266,29 @@
 
     /// Whether the response will be too long to be buffered, by its announced length or by its progress so far.
     fn is_expected_long(&self, now: Duration) -> bool {
-        let Some(first_byte_at) = self.first_byte_at else { return false };
-        let elapsed = now.saturating_sub(first_byte_at);
-        match self.announced_bytes {
-            Some(announced) => {
-                announced > MAX_BUFFERED_BODY_BYTES as u64 && elapsed >= STREAM_ANNOUNCED_AFTER
-            }
-            None => {
-                self.received_bytes >= STREAM_UNANNOUNCED_MIN_BYTES && elapsed >= STREAM_UNANNOUNCED_AFTER
+        self.next_decision_at().is_some_and(|at| now >= at)
+    }
+
+    /// Time after its first byte from which the response is streamed, if nothing more is received; `None` for never.
+    fn stream_after(&self) -> Option<Duration> {
+        match ExpectedLength::of_served(self.announced_bytes) {
+            ExpectedLength::Short => None,
+            ExpectedLength::Unannounced => {
+                (self.received_bytes >= STREAM_UNANNOUNCED_MIN_BYTES).then_some(STREAM_UNANNOUNCED_AFTER)
             }
+            ExpectedLength::Long => Some(STREAM_ANNOUNCED_AFTER),
         }
     }
 
     /// Time by which the next byte of a buffered response must arrive if the request may be retried. `response_start` is
     /// when the response's first byte arrived; `last_read` is when the connection was last read, possibly for an earlier
     /// response.
-    pub fn next_byte_deadline(response_start: Duration, last_read: Duration) -> Duration {
-        response_start.max(last_read) + BUFFERED_RESPONSE_IDLE_TIMEOUT
+    pub fn next_byte_deadline(
+        response_start: Duration,
+        last_read: Duration,
+        expected_length: ExpectedLength,
+    ) -> Duration {
+        response_start.max(last_read) + expected_length.idle_timeout()
     }
 
     /// Like [`Self::next_byte_deadline`] for a request that can't be retried: nothing is gained by abandoning its
--- a/crates/gateway/src/engine/actions.rs
+++ b/crates/gateway/src/engine/actions.rs
@@ -75,8 +75,8 @@
     fn set_attempt_deadline(&self, request: RequestId, deadline: Duration) {
         let deadline = self.handle.instant(deadline);
         if let Some(entry) = self.requests.get(request) {
-            let deadline = deadline.min(entry.answer_deadline);
-            entry.attempts.iter().for_each(|attempt| attempt.deadline.set(deadline));
+            let latest = entry.answer_deadline;
+            entry.attempts.iter().for_each(|attempt| attempt.deadline.set(deadline, latest));
         }
     }
 
@@ -102,7 +102,7 @@
         let Some(entry) = self.requests.get_mut(id) else { return };
         let Some(endpoint) = self.endpoints.get(index) else { return };
         let cancel = Rc::new(Notify::new());
-        let deadline = Deadline::new(deadlines.answer_by.min(entry.answer_deadline));
+        let deadline = Deadline::new(deadlines.answer_by, entry.answer_deadline);
         let attempt = Attempt {
             endpoint: endpoint.clone(),
             request: entry.forward.clone(),
--- a/crates/gateway/src/upstream/attempt.rs
+++ b/crates/gateway/src/upstream/attempt.rs
@@ -12,6 +12,7 @@
 use crate::transport::client_liveness::ClientLiveness;
 use crate::transport::instrumented_stream::IoState;
 use bytes::Bytes;
+use hyper::body::Body;
 use hyper::ext::on_informational;
 use hyper::header::HeaderValue;
 use hyper::http::response::Parts;
@@ -24,7 +25,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, Instant};
 use weldworks_balancer::{LoadReport, Outcome};
-use weldworks_control::body_streaming::TransferState;
+use weldworks_control::body_streaming::{ExpectedLength, TransferState};
 use weldworks_control::execution::{
     classify_attempt, classify_response, AttemptEnd, ResponseVerdict, WriteProgress,
 };
@@ -222,9 +223,18 @@
         progress.io_state.replace(Some(io_state.clone()));
         let started_at = Instant::now();
         let sending = connection.sender.send_request(request);
+        let expected_length = Cell::new(ExpectedLength::Short);
         let receiving = async {
             let (head, body) = sending.await?.into_parts();
-            Ok::<_, hyper::Error>(read_response(head, body).await)
+            if head.status == StatusCode::OK {
+                expected_length.set(ExpectedLength::of_served(body.size_hint().exact()));
+            }
+            if let Some(extension) = expected_length.get().deadline_extension() {
+                attempt.deadline.extend(extension);
+            }
+            let margin = expected_length.get().start_margin();
+            let stream_at = margin.and_then(|margin| attempt.deadline.latest().checked_sub(margin));
+            Ok::<_, hyper::Error>(read_response(head, body, stream_at).await)
         };
         let stall_timer = sleep_until(attempt.deadline.get());
         tokio::pin!(receiving, stall_timer);
@@ -236,6 +246,7 @@
             metrics: &self.metrics,
             report,
             informational: &informational,
+            expected_length: &expected_length,
             stall_timer,
             started_at,
             transfer_state: TransferState::NotForwarded,
--- a/crates/gateway/src/upstream/response_reader.rs
+++ b/crates/gateway/src/upstream/response_reader.rs
@@ -3,9 +3,9 @@
 use crate::limits::MAX_BUFFERED_BODY_BYTES;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use hyper::http::response::Parts;
-use tokio::time::Instant;
+use tokio::time::{sleep_until, Instant};
 use weldworks_control::body_streaming::{BufferingDecision, ResponseBuffering};
 
 /// A response body as far as it has been read.
@@ -34,12 +34,12 @@
     pub(super) body: ReadBody,
 }
 
-/// Reads the body of a response until the body is complete or is to be streamed.
-pub(super) async fn read_response(head: Parts, body: Incoming) -> ReadResponse {
-    ReadResponse { head, body: read_body(body).await }
+/// Reads the body of a response until the body is complete or is to be streamed, which it is from `stream_at` on at the latest.
+pub(super) async fn read_response(head: Parts, body: Incoming, stream_at: Option<Instant>) -> ReadResponse {
+    ReadResponse { head, body: read_body(body, stream_at).await }
 }
 
-async fn read_body(mut body: Incoming) -> ReadBody {
+async fn read_body(mut body: Incoming, stream_at: Option<Instant>) -> ReadBody {
     let length = body.size_hint().exact();
     let start = Instant::now();
     let mut buffering = ResponseBuffering::new(length);
@@ -52,10 +52,16 @@
             }
             BufferingDecision::TooLong => return ReadBody::TooLong,
         }
-        let frame = match body.frame().await {
-            None => return ReadBody::Complete(buffered.freeze()),
-            Some(Err(_)) => return ReadBody::Broken,
-            Some(Ok(frame)) => frame,
+        let decided_at = buffering.next_decision_at().map(|at| start + at);
+        let next_check_at = decided_at.into_iter().chain(stream_at).min();
+        let frame = match frame_until(&mut body, next_check_at).await {
+            NextFrame::Waited if stream_at.is_some_and(|at| Instant::now() >= at) => {
+                return ReadBody::Partial(PartialBody { buffered: buffered.freeze(), unread: body, length });
+            }
+            NextFrame::Waited => continue,
+            NextFrame::Received(None) => return ReadBody::Complete(buffered.freeze()),
+            NextFrame::Received(Some(Err(_))) => return ReadBody::Broken,
+            NextFrame::Received(Some(Ok(frame))) => frame,
         };
         let Ok(data) = frame.into_data() else { continue };
         buffering.record_received(start.elapsed(), data.len() as u64);
@@ -66,3 +72,21 @@
         buffered.extend_from_slice(&data);
     }
 }
+
+/// The result of a wait for the next frame of a body.
+enum NextFrame {
+    /// The next frame, or the end of the body.
+    Received(Option<Result<Frame<Bytes>, hyper::Error>>),
+    /// No frame was received in time.
+    Waited,
+}
+
+/// Waits for the next frame of the body until `deadline`, if there is one. A frame that has been received already is always returned.
+async fn frame_until(body: &mut Incoming, deadline: Option<Instant>) -> NextFrame {
+    let Some(deadline) = deadline else { return NextFrame::Received(body.frame().await) };
+    tokio::select! {
+        biased;
+        frame = body.frame() => NextFrame::Received(frame),
+        () = sleep_until(deadline) => NextFrame::Waited,
+    }
+}
--- a/crates/gateway/src/upstream/response_wait.rs
+++ b/crates/gateway/src/upstream/response_wait.rs
@@ -5,13 +5,14 @@
 use crate::body::{RequestPayload, StreamingUpload};
 use crate::metrics::Metrics;
 use crate::transport::instrumented_stream::IoState;
+use std::cell::Cell;
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 use tokio::time::{Instant, Sleep};
 use tracing::debug;
-use weldworks_control::body_streaming::{ResponseBuffering, TransferState};
+use weldworks_control::body_streaming::{ExpectedLength, ResponseBuffering, TransferState};
 use weldworks_control::execution::WriteProgress;
 
 /// The state of one request and response on a connection.
@@ -24,6 +25,8 @@
     pub(super) report: &'a dyn Fn(AttemptProgress),
     /// Set when a 1xx response has arrived.
     pub(super) informational: &'a AtomicBool,
+    /// The expected length of the response; short until its head is complete.
+    pub(super) expected_length: &'a Cell<ExpectedLength>,
     pub(super) stall_timer: Pin<&'a mut Sleep>,
     pub(super) started_at: Instant,
     pub(super) transfer_state: TransferState,
@@ -121,7 +124,10 @@
         let response_start = first_read - self.started_at;
         let last_read = last_read.saturating_duration_since(self.started_at);
         let next_byte_deadline = match self.retry_after_write {
-            RetryAfterWrite::Possible => ResponseBuffering::next_byte_deadline(response_start, last_read),
+            RetryAfterWrite::Possible => {
+                let expected_length = self.expected_length.get();
+                ResponseBuffering::next_byte_deadline(response_start, last_read, expected_length)
+            }
             RetryAfterWrite::Impossible => {
                 ResponseBuffering::next_byte_deadline_without_retry(response_start, last_read)
             }
--- a/crates/gateway/src/upstream/tests.rs
+++ b/crates/gateway/src/upstream/tests.rs
@@ -36,7 +36,10 @@
     Attempt {
         endpoint: Rc::new(endpoint),
         request: Rc::new(forward),
-        deadline: Deadline::new(Instant::now() + Duration::from_secs(10)),
+        deadline: Deadline::new(
+            Instant::now() + Duration::from_secs(10),
+            Instant::now() + Duration::from_secs(10),
+        ),
         write_by: None,
         retry_after_write: RetryAfterWrite::Possible,
         liveness: Rc::new(ClientLiveness::without_connection()),
--- a/crates/testbed/src/large_bodies.rs
+++ b/crates/testbed/src/large_bodies.rs
@@ -32,6 +32,8 @@
     pub form: Framing,
     /// The body is written in pieces of this many bytes with this pause after each; `None` for as fast as possible.
     pub pace: Option<(usize, Duration)>,
+    /// Time between the message's head and the first byte of the body.
+    pub delay: Duration,
     /// The body is truncated once this many bytes are written; `None` for a complete body.
     pub truncate_at: Option<u64>,
 }
@@ -39,7 +41,7 @@
 impl LargeBody {
     /// A complete body that is written as fast as possible.
     pub fn new(length: u64, form: Framing) -> LargeBody {
-        LargeBody { length, form, pace: None, truncate_at: None }
+        LargeBody { length, form, pace: None, delay: Duration::ZERO, truncate_at: None }
     }
 
     /// The digest of the complete body.
@@ -64,6 +66,7 @@
 
     /// Writes the body; false if it was truncated.
     fn write(&self, to: &mut impl Write) -> io::Result<bool> {
+        sleep(self.delay);
         let (size, pause) = self.pace.unwrap_or((PIECE_BYTES, Duration::ZERO));
         let mut offset = 0;
         while offset < self.length {
