gateway: bound the time of a long body by what its client may have written

Cause, by the mechanism: the time counts from when the client's socket was last found empty before the last read. While an endpoint takes nothing, the receive buffer is full and the rest waits in the client's send buffer. After a blocked write is retried the buffer is emptied and the rest arrives, and that moment was taken for the time at which the rest was written. Data that ended a wait was noticed where the endpoint's side polls the body, which may itself be late.

Change: ArrivalTime bounds the write at the socket: an empty buffer shows nothing for 0.1 s after reading had paused with 64 KiB or more unread, in which time the client's send buffer is emptied.

--- a/crates/gateway/src/body/streaming_upload.rs
+++ b/crates/gateway/src/body/streaming_upload.rs
@@ -5,7 +5,7 @@
 use crate::transport::instrumented_stream::IoState;
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -21,9 +21,6 @@
 /// This limit is half of 0.1 s, as is `ASSUMED_CONNECTED_AFTER_READ` for buffered bodies.
 const MAX_UNREAD_BEFORE_CLIENT_CHECK: Duration = Duration::from_millis(50);
 
-/// Data that ends a wait of at least this long arrived just then. Data that is there sooner may have waited unread in the socket.
-const MIN_WAIT_FOR_FRESH_DATA: Duration = Duration::from_millis(20);
-
 /// The values from which a [`StreamingUpload`] is created.
 pub struct UploadSource {
     /// The part of the body that has been read.
@@ -56,10 +53,6 @@
     pub answer_timeout: Duration,
     pub(super) client: Rc<ClientLiveness>,
     io_state: Rc<IoState>,
-    /// Start of the current wait for the client's data; `None` while nothing is waited for.
-    waiting_since: Cell<Option<Instant>>,
-    /// When the client's data last arrived after a wait of at least `MIN_WAIT_FOR_FRESH_DATA`.
-    fresh_data_at: Cell<Option<Instant>>,
     /// Counts the request as open from the body's last byte on.
     metrics_guard: RefCell<Option<RequestMetricsGuard>>,
 }
@@ -76,17 +69,13 @@
             answer_timeout: source.answer_timeout,
             client: source.client,
             io_state: source.io_state,
-            waiting_since: Cell::new(None),
-            fresh_data_at: Cell::new(None),
             metrics_guard: RefCell::new(Some(source.metrics_guard)),
         }
     }
 
-    /// Lower bound of when the body's last byte arrived: when the client's socket was last seen empty before the latest read.
-    /// The bound is raised to when data last arrived after a wait, and to the start of the upload.
+    /// Lower bound of when the client wrote the body's last byte, which is not before the start of the upload.
     pub fn earliest_last_byte_at(&self) -> Instant {
-        let known = [self.io_state.last_empty_before_read.get(), self.fresh_data_at.get()];
-        known.into_iter().flatten().fold(self.start, Instant::max)
+        self.io_state.arrival.earliest_write().map_or(self.start, |at| at.max(self.start))
     }
 
     /// Time that is left of the answer timeout, at least.
@@ -151,7 +140,6 @@
         }
         loop {
             let frame = Pin::new(&mut *self.unread.borrow_mut()).poll_frame(cx);
-            self.record_wait(&frame);
             let data = match ready!(frame) {
                 None => {
                     self.record_end_if_reached(&mut transfer);
@@ -169,16 +157,6 @@
         }
     }
 
-    /// Records the start of a wait for data, and when data arrived after a wait. Data that is there at once may have waited unread.
-    fn record_wait<T>(&self, frame: &Poll<T>) {
-        let now = Instant::now();
-        if frame.is_pending() {
-            self.waiting_since.set(self.waiting_since.get().or(Some(now)));
-        } else if self.waiting_since.take().is_some_and(|since| now - since >= MIN_WAIT_FOR_FRESH_DATA) {
-            self.fresh_data_at.set(Some(now));
-        }
-    }
-
     /// Records the end of the body where it has been reached. A body of known length ends with its last byte, and is not polled further.
     fn record_end_if_reached(&self, transfer: &mut BodyTransfer) {
         if !self.unread.borrow().is_end_stream() || transfer.state() == TransferState::Complete {
--- a/crates/gateway/src/transport/instrumented_stream.rs
+++ b/crates/gateway/src/transport/instrumented_stream.rs
@@ -149,11 +149,11 @@
         }
     }
 
-    fn record_read(&self) {
-        let now = Some(Instant::now());
-        self.io_state.last_empty_before_read.set(self.io_state.last_empty.get());
-        self.io_state.first_read_at.set(self.io_state.first_read_at.get().or(now));
-        self.io_state.last_read_at.set(now);
+    fn record_read(&self, bytes: usize) {
+        let now = Instant::now();
+        self.io_state.arrival.record_bytes(now, bytes as u64);
+        self.io_state.first_read_at.set(self.io_state.first_read_at.get().or(Some(now)));
+        self.io_state.last_read_at.set(Some(now));
     }
 }
 
@@ -165,6 +165,7 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let mut further_reads = MAX_FURTHER_READS;
+        self.io_state.arrival.record_read_start(Instant::now());
         let mut read = stream::poll_read(&self.stream, cx, buffer);
         while let Some(framing) = self.read_framing.as_ref().filter(|_| buffer.filled().len() > before) {
             let retained = framing.borrow_mut().strip_chunk_extensions(&mut buffer.filled_mut()[before..]);
@@ -184,10 +185,10 @@
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
         if read.is_pending() {
-            self.io_state.last_empty.set(Some(Instant::now()));
+            self.io_state.arrival.record_empty(Instant::now());
         }
         if buffer.filled().len() > before {
-            self.record_read();
+            self.record_read(buffer.filled().len() - before);
         }
         read
     }
--- a/crates/gateway/src/transport/io_state.rs
+++ b/crates/gateway/src/transport/io_state.rs
@@ -1,5 +1,6 @@
 //! The I/O state of a connection: when bytes were read and written, until when they may be written, and whether input is expected.
 
+use super::arrival_time::ArrivalTime;
 use std::cell::Cell;
 use tokio::time::Instant;
 use weldworks_control::execution::WriteProgress;
@@ -14,10 +15,8 @@
     pub first_read_at: Cell<Option<Instant>>,
     /// When bytes were last read or found waiting to be read, over the whole life of the connection.
     pub last_read_at: Cell<Option<Instant>>,
-    /// When a read last found the socket's receive buffer empty.
-    pub(super) last_empty: Cell<Option<Instant>>,
-    /// When the receive buffer was last found empty before the latest read: the bytes of that read arrived after this moment.
-    pub last_empty_before_read: Cell<Option<Instant>>,
+    /// When the bytes that were read last had been written by the peer.
+    pub arrival: ArrivalTime,
     /// How much of the request has been written to the kernel, on streams that track the requests written.
     pub write_progress: Cell<WriteProgress>,
     /// When the last byte of the request was written to the kernel.
--- a/crates/gateway/src/transport/mod.rs
+++ b/crates/gateway/src/transport/mod.rs
@@ -1,5 +1,6 @@
 //! The socket layer below HTTP: streams that record their I/O, message framing, descriptor quotas, and classes of system errors.
 
+mod arrival_time;
 mod blocked_write;
 pub mod client_liveness;
 pub mod descriptor_budget;
