gateway: keep the id of a request whose client left before its result

Cause: an id was reserved only while its request was open or had an attempt in flight. A client that leaves cancels the attempt, and the id was forgotten at once, though the endpoint may go on with the work.

Why it works: nothing else tells an endpoint of an unsafe class that the two are one.

--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -12,6 +12,7 @@
 pub mod message;
 mod reconfiguration;
 mod request_events;
+mod request_ids;
 mod request_table;
 mod retry_storm;
 mod timers;
--- a/crates/gateway/src/engine/request_events.rs
+++ b/crates/gateway/src/engine/request_events.rs
@@ -22,7 +22,7 @@
         }
         if !self.requests.reserve_request_id(&arrival.request_id) {
             // An endpoint could not tell this request from another attempt of the earlier request with the same `X-Request-ID`.
-            // The earlier request may be answered already and have an attempt in flight.
+            // The earlier request may be answered already and have an attempt in flight, or its client may lack its result.
             // Nothing is logged about the duplicate `X-Request-ID`: the client sees status 409.
             arrival.client.stop_waiting();
             let _ = arrival.answer.send(FinalAnswer::Failed(StatusCode::CONFLICT)); // the client may have disconnected
@@ -53,6 +53,8 @@
             answer_deadline,
             attempts: Vec::new(),
             attempts_in_flight: 0,
+            possibly_processed: false,
+            client_lacks_result: false,
             last_outcome: Outcome::NotSent,
             class_index: request.class,
             class,
@@ -84,8 +86,7 @@
 
     pub(super) fn handle_client_disconnect(&mut self, id: RequestId) {
         if let Some(entry) = self.requests.get_mut(id) {
-            entry.client.stop_waiting();
-            entry.answer = None;
+            entry.disconnect_client();
             self.abandon(id);
         }
     }
@@ -114,6 +115,7 @@
         let Some(entry) = self.requests.get_mut(request) else { return };
         entry.attempts_in_flight -= 1;
         entry.last_outcome = outcome;
+        entry.possibly_processed |= written_after.is_some() && !outcome.proves_not_processed();
         let endpoint = entry.attempt_endpoint(attempt).cloned();
         self.forward_load_report(endpoint, load_report);
         if let Some(response) = response {
--- a/crates/gateway/src/engine/request_table.rs
+++ b/crates/gateway/src/engine/request_table.rs
@@ -1,15 +1,16 @@
 //! The requests that are open or have an attempt in flight, and the `X-Request-ID`s that they have reserved.
 
 use super::message::FinalAnswer;
+use super::request_ids::RequestIds;
 use crate::body::ForwardedRequest;
 use crate::transport::client_liveness::ClientLiveness;
 use crate::upstream::{Deadline, UpstreamEndpoint};
 use hyper::header::HeaderValue;
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::FxHashMap;
 use std::rc::Rc;
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
-use weldworks_balancer::{Outcome, RequestId};
+use weldworks_balancer::{Idempotency, Outcome, RequestId};
 use weldworks_control::class_registry::RegisteredClass;
 
 /// One attempt of a request, in flight or ended.
@@ -34,6 +35,10 @@
     /// All attempts of the request, indexed by attempt number.
     pub(super) attempts: Vec<AttemptEntry>,
     pub(super) attempts_in_flight: u32,
+    /// Whether an attempt was written completely and did not prove that the request was not processed.
+    pub(super) possibly_processed: bool,
+    /// Whether the client has disconnected or was told that the request failed, and so does not know whether it was processed.
+    pub(super) client_lacks_result: bool,
     pub(super) last_outcome: Outcome,
     pub(super) class_index: usize,
     /// The class under which the request arrived, which stays registered until the request is removed from the table.
@@ -44,6 +49,7 @@
     /// Sends the request's final answer, unless it was sent before. No attempt of the request begins after this.
     pub(super) fn finish(&mut self, answer: FinalAnswer) {
         self.client.stop_waiting();
+        self.client_lacks_result = matches!(answer, FinalAnswer::Failed(_));
         if let Some(sender) = self.answer.take() {
             let _ = sender.send(answer); // sending fails where the client has disconnected
         }
@@ -54,6 +60,18 @@
         self.attempts.get(attempt as usize).map(|attempt| &attempt.endpoint)
     }
 
+    /// Ends the wait for an answer because the client has disconnected.
+    pub(super) fn disconnect_client(&mut self) {
+        self.client.stop_waiting();
+        self.client_lacks_result |= self.answer.take().is_some();
+    }
+
+    /// Whether the request must not be processed again under its id.
+    fn must_retain_id(&self) -> bool {
+        let is_repeatable = self.class.class.idempotency == Idempotency::Idempotent;
+        self.possibly_processed && self.client_lacks_result && !is_repeatable
+    }
+
     fn is_done(&self) -> bool {
         self.answer.is_none() && self.attempts_in_flight == 0
     }
@@ -63,13 +81,14 @@
 #[derive(Default)]
 pub(super) struct RequestTable {
     entries: FxHashMap<RequestId, RequestEntry>,
-    request_ids: FxHashSet<HeaderValue>,
+    request_ids: RequestIds,
 }
 
 impl RequestTable {
-    /// Reserves an `X-Request-ID`; false where a request that is open or has an attempt in flight has reserved the same id.
+    /// Reserves an `X-Request-ID`; false where another request has reserved the same id: one that is open, has an attempt in flight, or was
+    /// possibly processed without its client knowing the result.
     pub(super) fn reserve_request_id(&mut self, request_id: &HeaderValue) -> bool {
-        self.request_ids.insert(request_id.clone())
+        self.request_ids.reserve(request_id, Instant::now())
     }
 
     /// Adds a request whose `X-Request-ID` has been reserved.
@@ -89,13 +108,17 @@
         self.entries.iter_mut()
     }
 
-    /// Removes a request that is answered and has no attempt in flight, and releases its `X-Request-ID`.
+    /// Removes a request that is answered and has no attempt in flight, and releases its `X-Request-ID` or retains it.
     pub(super) fn remove_if_done(&mut self, id: RequestId) {
         if !self.entries.get(&id).is_some_and(RequestEntry::is_done) {
             return;
         }
         if let Some(entry) = self.entries.remove(&id) {
-            self.request_ids.remove(&entry.request_id);
+            if entry.must_retain_id() {
+                self.request_ids.retain(&entry.request_id, Instant::now());
+            } else {
+                self.request_ids.release(&entry.request_id);
+            }
         }
     }
 
@@ -105,8 +128,8 @@
             entry.finish(FinalAnswer::Failed(status));
             entry.attempts.iter().for_each(|attempt| attempt.cancel.notify_one());
         }
-        self.entries.retain(|_, entry| entry.attempts_in_flight > 0);
-        self.request_ids = self.entries.values().map(|entry| entry.request_id.clone()).collect();
+        let done: Vec<RequestId> = self.entries.keys().copied().collect();
+        done.into_iter().for_each(|id| self.remove_if_done(id));
     }
 
     #[cfg(test)]
--- a/crates/gateway/tests/crossings/single_processing.rs
+++ b/crates/gateway/tests/crossings/single_processing.rs
@@ -425,3 +425,39 @@
         );
     }
 }
+
+/// Guards against a request that runs twice: its client left while the endpoint processed it, and came again with the same id. The gateway
+/// had forgotten the id with the cancelled attempt and sent the request to an endpoint once more.
+#[test]
+fn id_of_a_request_whose_client_left_is_not_sent_again() {
+    for class in ["pay", "book", "once"] {
+        let endpoint = ScriptedEndpoint::start(|_| Reply::Hang);
+        let (gateway, _discovery) = start(&format!("same-id-{class}"), &listed_thirty_times(&endpoint));
+        let text = request(class);
+        let mut client = gateway.connect();
+        client.write(text.as_bytes());
+        wait_for("the attempt", || endpoint.count() == 1);
+        drop(client);
+        wait_for_open_requests(&gateway, 0);
+        let mut client = gateway.connect();
+        client.write(text.as_bytes());
+        assert_eq!(client.read().expect("no answer").status(), 409, "{class}");
+        assert_eq!(endpoint.count(), 1, "{class}");
+        client.write(request("look").as_bytes());
+        wait_for("a request with another id", || endpoint.count() == 2);
+    }
+}
+
+/// A client that was told that its request failed does not know whether it was processed either.
+#[test]
+fn id_of_a_failed_request_is_not_sent_again() {
+    let endpoint = ScriptedEndpoint::start(|_| Reply::Break);
+    let (gateway, _discovery) = start("failed-id", &listed_thirty_times(&endpoint));
+    let text = request("once");
+    for status in [502, 409] {
+        let mut client = gateway.connect();
+        client.write(text.as_bytes());
+        assert_eq!(client.read().expect("no answer").status(), status);
+    }
+    assert_eq!(endpoint.count(), 1);
+}
