gateway: limit connections to endpoints by memory too

Cause: connections to endpoints were limited by descriptors only. Each keeps its buffers while it is idle, 28 to 68 KB, and a burst opens many, as a connection rests for some ms before it is used again.

Evidence: memory follows the number of these connections (8 MB with 41, 16 with 141, 20 with 222), not of clients (7 MB with 400 clients), and not the limit.

At 192 MB and 1,024 descriptors the number stays.

Result: connections_to_clients_and_endpoints_fit_into_memory_together failed with the limit by descriptors (77 MB of 16) and passes.

--- a/crates/gateway/src/transport/descriptor_budget.rs
+++ b/crates/gateway/src/transport/descriptor_budget.rs
@@ -8,6 +8,9 @@
 /// Maximum memory of a client's connection and its request, in bytes: a body in each direction, a head's read buffer, and the tasks.
 const MAX_CLIENT_MEMORY_BYTES: usize = 2 * MAX_BUFFERED_BODY_BYTES + MAX_READ_AHEAD_BYTES + (32 << 10);
 
+/// Maximum memory of an idle connection to an endpoint, in bytes: its read buffer, its write buffer, and its task.
+const MAX_ENDPOINT_CONNECTION_MEMORY_BYTES: usize = 2 * MAX_READ_AHEAD_BYTES;
+
 /// Number of descriptors of the process itself: standard streams, poller, wakers, signals, listener, discovery.
 const PROCESS_DESCRIPTORS: usize = 20;
 
@@ -107,7 +110,8 @@
 impl DescriptorBudget {
     /// Divides the descriptors that the limits allow: after the process's own descriptors and those of the admin API, clients get half
     /// of the rest, and endpoints the other half less the overflow quota.
-    /// Clients together may use at most three quarters of the memory, which may reduce their quota further.
+    /// Clients together may use at most three quarters of the memory and connections to endpoints a quarter, which may reduce their
+    /// quotas further.
     pub fn new(limits: &Limits, admin_api: AdminApi) -> DescriptorBudget {
         let admin = match admin_api {
             AdminApi::Enabled => {
@@ -125,7 +129,11 @@
             .max(MIN_OVERFLOW_DESCRIPTORS)
             .min(fit_in_memory / OVERFLOW_MEMORY_DIVISOR);
         let clients = (for_connections / 2).min(fit_in_memory.saturating_sub(overflow));
-        let upstream = (for_connections - for_connections / 2).saturating_sub(overflow);
+        let endpoint_connections_in_memory =
+            (limits.memory_mb << 20) / 4 / MAX_ENDPOINT_CONNECTION_MEMORY_BYTES;
+        let upstream = (for_connections - for_connections / 2)
+            .saturating_sub(overflow)
+            .min(endpoint_connections_in_memory);
         let idle_clients = (limits.sockets / IDLE_CLIENT_DIVISOR).min(clients / 4 * 3);
         DescriptorBudget {
             clients: DescriptorQuota::new(clients),
--- a/crates/gateway/src/transport/descriptor_budget/tests.rs
+++ b/crates/gateway/src/transport/descriptor_budget/tests.rs
@@ -1,4 +1,4 @@
-//! Tests of sharing the descriptor limit between the two processes of a hot restart.
+//! Tests of the division of the descriptor limit, by memory and between the two processes of a hot restart.
 
 use super::*;
 
@@ -32,3 +32,18 @@
         without_admin.upstream.capacity() > budget.upstream.capacity() && without_admin.admin.capacity() == 0
     );
 }
+
+/// Guards against a process that passes its memory limit: each connection to an endpoint keeps its buffers while it is idle, and only
+/// descriptors limited their number.
+#[test]
+fn connections_to_clients_and_endpoints_fit_into_memory_together() {
+    for (memory_mb, sockets) in [(16, 2048), (32, 2048), (48, 576), (64, 1024), (192, 1024), (192, 4096)] {
+        let budget = DescriptorBudget::new(&Limits { memory_mb, sockets }, AdminApi::Enabled);
+        let clients = budget.clients.capacity() + budget.overflow.capacity();
+        let endpoints = budget.upstream.capacity();
+        let used = clients * MAX_CLIENT_MEMORY_BYTES + endpoints * (64 << 10);
+        assert!(used <= memory_mb << 20, "{memory_mb} MB, {sockets} descriptors: {used} bytes");
+        let usable = budget.clients.capacity();
+        assert!(endpoints >= usable.min(sockets / 3), "{endpoints} connections for {usable} clients");
+    }
+}
