--- a/crates/balancer/src/discovery_polling.rs
+++ b/crates/balancer/src/discovery_polling.rs
@@ -174,11 +174,19 @@
         rng: &mut fastrand::Rng,
         actions: &mut Vec<Action>,
     ) {
-        let Some(interval) = settings.discovery_poll_interval else { return };
+        if let Some(window_s) = self.record_failure(silent_s, settings) {
+            self.poll_within(now_s, window_s, settings, rng, actions);
+        }
+    }
+
+    /// Counts a failure, drops the poll that was scheduled, and returns the longest delay of the next poll in seconds;
+    /// `None` where discovery is not polled.
+    fn record_failure(&mut self, silent_s: f64, settings: &Settings) -> Option<f64> {
+        let interval = settings.discovery_poll_interval?;
         let window_s = backoff_window_s(interval.as_secs_f64(), self.history, silent_s);
         self.history = self.history.after_failure();
         self.next_poll_s = f64::INFINITY;
-        self.poll_within(now_s, window_s, settings, rng, actions);
+        Some(window_s)
     }
 
     /// Schedules a poll after a poll that was turned away. Discovery is up and answers other gateways meanwhile, so what it tells them
@@ -191,13 +199,10 @@
         rng: &mut fastrand::Rng,
         actions: &mut Vec<Action>,
     ) {
-        let Some(interval) = settings.discovery_poll_interval else { return };
+        let Some(window_s) = self.record_failure(silent_s, settings) else { return };
         let answer_needed_s =
             self.unanswered_since_s + NOTIFICATION_DEADLINE_S + settings.drain_grace.as_secs_f64();
-        let longest_delay_s = backoff_window_s(interval.as_secs_f64(), self.history, silent_s)
-            .min(longest_delay_after_turned_away_s(answer_needed_s - now_s));
-        self.history = self.history.after_failure();
-        self.next_poll_s = f64::INFINITY;
+        let longest_delay_s = window_s.min(longest_delay_after_turned_away_s(answer_needed_s - now_s));
         let shortest_delay_s = SHORTEST_DELAY_FRACTION * longest_delay_s;
         let delay_s = shortest_delay_s + (longest_delay_s - shortest_delay_s) * rng.f64();
         self.poll_after(now_s, delay_s, settings, actions);
--- a/crates/gateway/src/upstream/attempt.rs
+++ b/crates/gateway/src/upstream/attempt.rs
@@ -12,13 +12,13 @@
 use crate::transport::client_liveness::ClientLiveness;
 use crate::transport::instrumented_stream::IoState;
 use bytes::Bytes;
-use hyper::body::Body;
+use hyper::body::{Body, Incoming};
 use hyper::ext::on_informational;
 use hyper::header::HeaderValue;
 use hyper::http::response::Parts;
-use hyper::StatusCode;
+use hyper::{Response, StatusCode};
 use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
+use std::future::{poll_fn, Future};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -224,18 +224,7 @@
         let started_at = Instant::now();
         let sending = connection.sender.send_request(request);
         let expected_length = Cell::new(ExpectedLength::Short);
-        let receiving = async {
-            let (head, body) = sending.await?.into_parts();
-            if head.status == StatusCode::OK {
-                expected_length.set(ExpectedLength::of_served(body.size_hint().exact()));
-            }
-            if let Some(extension) = expected_length.get().deadline_extension() {
-                attempt.deadline.extend(extension);
-            }
-            let margin = expected_length.get().start_margin();
-            let stream_at = margin.and_then(|margin| attempt.deadline.latest().checked_sub(margin));
-            Ok::<_, hyper::Error>(read_response(head, body, stream_at).await)
-        };
+        let receiving = receive_response(sending, &attempt.deadline, &expected_length);
         let stall_timer = sleep_until(attempt.deadline.get());
         tokio::pin!(receiving, stall_timer);
         let mut wait = ResponseWait {
@@ -267,6 +256,24 @@
     }
 }
 
+/// Waits for the response and reads it as far as it is buffered. A response that may be long extends the attempt's deadline.
+async fn receive_response(
+    sending: impl Future<Output = hyper::Result<Response<Incoming>>>,
+    deadline: &Deadline,
+    expected_length: &Cell<ExpectedLength>,
+) -> hyper::Result<ReadResponse> {
+    let (head, body) = sending.await?.into_parts();
+    if head.status == StatusCode::OK {
+        expected_length.set(ExpectedLength::of_served(body.size_hint().exact()));
+    }
+    if let Some(extension) = expected_length.get().deadline_extension() {
+        deadline.extend(extension);
+    }
+    let margin = expected_length.get().start_margin();
+    let stream_at = margin.and_then(|margin| deadline.latest().checked_sub(margin));
+    Ok(read_response(head, body, stream_at).await)
+}
+
 /// Whether a buffered response serves the request, and if not, how the attempt ends.
 fn classify_buffered(head: Parts, body: Bytes) -> Result<Exchanged, AttemptEnd> {
     let not_processed = head.headers.get_all(NOT_PROCESSED_HEADER).iter().map(HeaderValue::as_bytes);
