gateway: log requests that are late or not served, with phase and reason

Change: at the default level, ten lines of a kind a second at most, `final answer after its time` and `request not served` with request id, class, status, phase of the last attempt, progress of the body, endpoint, bytes written, attempts and last outcome; `connection to endpoint stalled` and `streamed response ended early` move to the default level and name request and endpoint. At level debug the end of each client connection with its reason. The figure `router_late` counts late answers. `ExchangeProgress` is gone: the attempt's monitor, which the log reads, keeps the same I/O state.

--- a/crates/control/src/body_streaming.rs
+++ b/crates/control/src/body_streaming.rs
@@ -105,6 +105,11 @@
         self.state
     }
 
+    /// Number of bytes that were received from the client.
+    pub fn received_bytes(&self) -> u64 {
+        self.received_bytes
+    }
+
     /// Records that the endpoint has accepted all data that was forwarded to it and is ready for more.
     pub fn record_endpoint_ready(&mut self, now: Duration) {
         if self.state == TransferState::NotForwarded {
--- a/crates/gateway/src/body/mod.rs
+++ b/crates/gateway/src/body/mod.rs
@@ -11,7 +11,7 @@
 pub use buffering::{buffer_body, BufferedBody};
 pub use request_body::{ForwardedRequest, RequestBody, RequestPayload};
 pub use response_body::{ResponseBody, ResponseChunk, UpstreamResponse};
-pub use streaming_upload::{StreamingUpload, UploadSource};
+pub use streaming_upload::{StreamingUpload, UploadProgress, UploadSource};
 
 use bytes::Bytes;
 use hyper::body::Frame;
--- a/crates/gateway/src/body/streaming_upload.rs
+++ b/crates/gateway/src/body/streaming_upload.rs
@@ -39,6 +39,19 @@
     pub io_state: Rc<IoState>,
 }
 
+/// How far a streamed body has come, for the log.
+#[derive(Clone, Copy, Debug)]
+#[expect(dead_code, reason = "the fields are read by the log, through `Debug`")]
+pub struct UploadProgress {
+    state: TransferState,
+    /// Number of bytes of the body that were taken from the client's connection.
+    received_bytes: u64,
+    /// The length of the complete body in bytes, where the request states it.
+    length: Option<u64>,
+    /// Time since the earliest moment at which the client may have written its last byte.
+    since_last_byte: Duration,
+}
+
 /// A client's body that is streamed while it arrives.
 #[derive(Debug)]
 pub struct StreamingUpload {
@@ -114,6 +127,17 @@
         self.transfer.borrow().state()
     }
 
+    /// How far the transfer has come.
+    pub fn progress(&self) -> UploadProgress {
+        let transfer = self.transfer.borrow();
+        UploadProgress {
+            state: transfer.state(),
+            received_bytes: transfer.received_bytes(),
+            length: self.length,
+            since_last_byte: self.earliest_last_byte_at().elapsed(),
+        }
+    }
+
     /// Deadline for the endpoint to accept more of the body; `None` while the transfer does not wait for the endpoint.
     pub fn endpoint_deadline(&self) -> Option<Instant> {
         Some(self.start + self.transfer.borrow().endpoint_deadline()?)
--- a/crates/gateway/src/engine/actions.rs
+++ b/crates/gateway/src/engine/actions.rs
@@ -6,7 +6,7 @@
 use super::timers::Timer;
 use super::Engine;
 use crate::body::RequestPayload;
-use crate::upstream::{Attempt, AttemptResult, Deadline, RetryAfterWrite};
+use crate::upstream::{Attempt, AttemptMonitor, AttemptResult, Deadline, RetryAfterWrite};
 use hyper::StatusCode;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -102,6 +102,7 @@
         let Some(entry) = self.requests.get_mut(id) else { return };
         let Some(endpoint) = self.endpoints.get(index) else { return };
         let cancel = Rc::new(Notify::new());
+        let monitor = Rc::new(AttemptMonitor::default());
         let deadline = Deadline::new(deadlines.answer_by, entry.answer_deadline);
         let attempt = Attempt {
             endpoint: endpoint.clone(),
@@ -111,6 +112,7 @@
             retry_after_write: retry_after_write(entry),
             liveness: entry.client.clone(),
             cancel: cancel.clone(),
+            monitor: monitor.clone(),
         };
         let decided_at = Instant::now();
         let number = entry.attempts.len() as u32;
@@ -129,7 +131,7 @@
                 written_at: None,
             },
         };
-        entry.attempts.push(AttemptEntry { endpoint: endpoint.clone(), cancel, deadline });
+        entry.attempts.push(AttemptEntry { endpoint: endpoint.clone(), cancel, deadline, monitor });
         entry.attempts_in_flight += 1;
         let pool = self.pool.clone();
         spawn_local(async move {
--- a/crates/gateway/src/engine/message.rs
+++ b/crates/gateway/src/engine/message.rs
@@ -41,6 +41,16 @@
             FinalAnswer::Failed(_) => "failed",
         }
     }
+
+    /// The status of the answer.
+    pub fn status(&self) -> u16 {
+        match self {
+            FinalAnswer::Served(_) => StatusCode::OK,
+            FinalAnswer::Rejected { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            FinalAnswer::Failed(status) => *status,
+        }
+        .as_u16()
+    }
 }
 
 /// A client's request that has arrived and waits for its final answer.
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -13,6 +13,7 @@
 mod reconfiguration;
 mod request_events;
 mod request_ids;
+mod request_log;
 mod request_table;
 mod retry_storm;
 mod timers;
@@ -23,6 +24,7 @@
 use crate::string_interner::StringInterner;
 use crate::upstream::{ConnectionPool, UpstreamEndpoint};
 use message::{EngineHandle, Message};
+use request_log::RequestLog;
 use request_table::RequestTable;
 use rustc_hash::FxHashMap;
 use std::net::SocketAddr;
@@ -71,6 +73,7 @@
     endpoint_ids: FxHashMap<String, EndpointId>,
     free_ids: Vec<EndpointId>,
     requests: RequestTable,
+    request_log: RequestLog,
     timers: TimerQueue,
     messages: mpsc::UnboundedReceiver<Message>,
     handle: EngineHandle,
@@ -111,6 +114,7 @@
             endpoint_ids: FxHashMap::default(),
             free_ids: Vec::new(),
             requests: RequestTable::default(),
+            request_log: RequestLog::default(),
             timers: TimerQueue::default(),
             messages,
             handle: handle.clone(),
--- a/crates/gateway/src/engine/request_events.rs
+++ b/crates/gateway/src/engine/request_events.rs
@@ -181,6 +181,10 @@
         let Some(entry) = self.requests.get(id).filter(|entry| entry.answer.is_some()) else { return };
         let attempts = entry.attempts.len();
         let duration = entry.arrived_at.elapsed();
+        let is_late = self.request_log.record_answer(entry, &answer);
+        if let Some(metrics) = self.metrics.as_ref().filter(|_| is_late) {
+            metrics.record_late_answer();
+        }
         let answer = self.record_final_answer(entry.retry_identity, answer);
         debug!(
             request = id.0,
--- a/crates/gateway/src/engine/request_table.rs
+++ b/crates/gateway/src/engine/request_table.rs
@@ -2,11 +2,12 @@
 
 use super::message::FinalAnswer;
 use super::request_ids::RequestIds;
-use crate::body::ForwardedRequest;
+use crate::body::{ForwardedRequest, RequestPayload, UploadProgress};
 use crate::transport::client_liveness::ClientLiveness;
-use crate::upstream::{Deadline, UpstreamEndpoint};
+use crate::upstream::{AttemptMonitor, AttemptPhase, Deadline, UpstreamEndpoint};
 use hyper::header::HeaderValue;
 use rustc_hash::FxHashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
@@ -18,6 +19,16 @@
     pub(super) endpoint: Rc<UpstreamEndpoint>,
     pub(super) cancel: Rc<Notify>,
     pub(super) deadline: Rc<Deadline>,
+    pub(super) monitor: Rc<AttemptMonitor>,
+}
+
+/// What a request waits for, or waited for when it ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RequestPhase {
+    /// No attempt has begun: the request was shed, or waits for its key or for an eligible endpoint.
+    NoAttempt,
+    /// The last attempt is, or was, in this phase.
+    Attempt(AttemptPhase),
 }
 
 /// A request that is open or has an attempt in flight.
@@ -60,6 +71,38 @@
         self.attempts.get(attempt as usize).map(|attempt| &attempt.endpoint)
     }
 
+    /// When the final answer is due, by what is known now of the client's last byte.
+    pub(super) fn answer_due_at(&self) -> Instant {
+        match &self.forward.body {
+            RequestPayload::Buffered(_) => self.answer_deadline,
+            RequestPayload::Streaming(upload) => upload.earliest_last_byte_at() + upload.answer_timeout,
+        }
+    }
+
+    /// What the request waits for.
+    pub(super) fn phase(&self) -> RequestPhase {
+        let last = self.attempts.last();
+        last.map_or(RequestPhase::NoAttempt, |attempt| RequestPhase::Attempt(attempt.monitor.phase()))
+    }
+
+    /// The progress of a streamed body; `None` for a body that was buffered.
+    pub(super) fn body_progress(&self) -> Option<UploadProgress> {
+        match &self.forward.body {
+            RequestPayload::Buffered(_) => None,
+            RequestPayload::Streaming(upload) => Some(upload.progress()),
+        }
+    }
+
+    /// The address of the endpoint of the last attempt.
+    pub(super) fn last_endpoint_address(&self) -> Option<SocketAddr> {
+        self.attempts.last()?.endpoint.address.get()
+    }
+
+    /// How many bytes of the request the last attempt has written.
+    pub(super) fn last_written_bytes(&self) -> u64 {
+        self.attempts.last().map_or(0, |attempt| attempt.monitor.written_bytes())
+    }
+
     /// Ends the wait for an answer because the client has disconnected.
     pub(super) fn disconnect_client(&mut self) {
         self.client.stop_waiting();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fleet;
 pub mod lifecycle;
 pub mod limits;
+pub mod log_rate_limit;
 pub mod metrics;
 pub mod server;
 pub mod string_interner;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -92,6 +92,8 @@
     classes: RefCell<BTreeMap<String, EndingCounts>>,
     open_requests: Cell<u64>,
     written_attempts: Cell<u64>,
+    /// Number of final answers that were given after the client's time.
+    late_answers: Cell<u64>,
     /// Number of endpoints in the current endpoint list, including draining endpoints.
     pub listed_endpoints: Cell<u64>,
     /// Number of listed endpoints that the balancer avoids.
@@ -131,6 +133,11 @@
         self.written_attempts.set(self.written_attempts.get() + 1);
     }
 
+    /// Counts a final answer that was given after the client's time.
+    pub fn record_late_answer(&self) {
+        self.late_answers.set(self.late_answers.get() + 1);
+    }
+
     /// Counts a reload of the configuration file by its outcome.
     pub fn record_reload(&self, outcome: ReloadOutcome) {
         let count = match outcome {
@@ -153,6 +160,7 @@
             ("cluster_unhealthy", &self.avoided_endpoints),
             ("conf_loaded", &self.applied_reloads),
             ("conf_invalid", &self.rejected_reloads),
+            ("late", &self.late_answers),
         ];
         for (name, value) in values {
             let _ = writeln!(text, "router_{name} {}", value.get());
--- a/crates/gateway/src/server/http/connection.rs
+++ b/crates/gateway/src/server/http/connection.rs
@@ -21,15 +21,21 @@
 use std::task::Poll;
 use std::time::Duration;
 use tokio::time::{timeout, Instant};
+use tracing::debug;
 
 /// Time limit of a graceful close, within which the client may also complete a request head. While a response is owed, the limit starts
 /// again.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// How normal service of a client connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ConnectionEnd {
-    /// The connection has ended; nothing remains to be done.
-    Closed,
+    /// The HTTP library has ended the connection: after a last response, or because of an error or a malformed request.
+    Finished,
+    /// The client has closed its sending side, or the connection is broken.
+    Disconnected,
+    /// The server aborts the connection, on which no response is owed.
+    Aborted,
     /// The connection is to be shut down gracefully.
     Shutdown,
 }
@@ -54,9 +60,11 @@
         // socket probe, requests of a client that has disconnected would still be started.
         let disconnected = client.probe.closed();
         tokio::pin!(connection, disconnected);
-        match wait_for_end(connection.as_mut(), disconnected.as_mut(), &client).await {
-            ConnectionEnd::Closed => return,
-            ConnectionEnd::Shutdown => {}
+        let end = wait_for_end(connection.as_mut(), disconnected.as_mut(), &client).await;
+        let requests = client.request_count.get();
+        debug!(reason = ?end, requests, owes_response = client.owes_response(), "client connection ends");
+        if end != ConnectionEnd::Shutdown {
+            return;
         }
         // A request in flight is still answered; without one the HTTP library closes the connection at once.
         connection.as_mut().graceful_shutdown();
@@ -121,12 +129,12 @@
     loop {
         tokio::select! {
             biased;
-            _ = connection.as_mut() => return ConnectionEnd::Closed,
-            () = disconnected.as_mut() => return ConnectionEnd::Closed,
+            _ = connection.as_mut() => return ConnectionEnd::Finished,
+            () = disconnected.as_mut() => return ConnectionEnd::Disconnected,
             () = client.close_requested.notified() => {}
             () = client.abort_requested.notified() => {
                 if !client.owes_response() {
-                    return ConnectionEnd::Closed;
+                    return ConnectionEnd::Aborted;
                 }
                 if client.idle_since.get().is_some() {
                     return ConnectionEnd::Shutdown; // only the end of an earlier response is still to be written
--- a/crates/gateway/src/transport/instrumented_stream.rs
+++ b/crates/gateway/src/transport/instrumented_stream.rs
@@ -133,6 +133,8 @@
             return;
         }
         let Some(framing) = &self.write_framing else { return };
+        let written_before = self.io_state.request_bytes_written.get();
+        self.io_state.request_bytes_written.set(written_before + written as u64);
         let mut framing = framing.borrow_mut();
         let messages_before = framing.complete_messages();
         for piece in pieces {
--- a/crates/gateway/src/transport/io_state.rs
+++ b/crates/gateway/src/transport/io_state.rs
@@ -19,6 +19,8 @@
     pub arrival: ArrivalTime,
     /// How much of the request has been written to the kernel, on streams that track the requests written.
     pub write_progress: Cell<WriteProgress>,
+    /// How many bytes of the request have been written to the kernel, on streams that track the requests written.
+    pub request_bytes_written: Cell<u64>,
     /// When the last byte of the request was written to the kernel.
     pub written_at: Cell<Option<Instant>>,
     /// The write deadline: from this moment on no further byte of an incomplete request is written.
@@ -33,6 +35,7 @@
     /// Resets the record for a new request, of which nothing may be written after `write_by` if the request is not complete by then.
     pub fn begin_request(&self, write_by: Option<Instant>) {
         self.write_progress.set(WriteProgress::Nothing);
+        self.request_bytes_written.set(0);
         self.written_at.set(None);
         self.write_by.set(write_by);
         self.first_read_at.set(None);
--- a/crates/gateway/src/upstream/attempt.rs
+++ b/crates/gateway/src/upstream/attempt.rs
@@ -1,8 +1,11 @@
 //! One attempt: writes a request to an endpoint, and derives from the attempt's end whether the endpoint may have processed the request.
 
+use super::attempt_monitor::AttemptMonitor;
 use super::connection::Connection;
 use super::deadline::Deadline;
-use super::headers::{build_request, load_report, strip_hop_by_hop, NOT_PROCESSED_HEADER};
+use super::headers::{
+    build_request, parse_load_report, strip_hop_by_hop, NOT_PROCESSED_HEADER, REQUEST_ID_HEADER,
+};
 use super::pool::ConnectionPool;
 use super::response_reader::{read_response, ReadBody, ReadResponse};
 use super::response_stream::StreamingResponse;
@@ -10,14 +13,13 @@
 use super::UpstreamEndpoint;
 use crate::body::{ForwardedRequest, RequestPayload, ResponseBody, UpstreamResponse};
 use crate::transport::client_liveness::ClientLiveness;
-use crate::transport::instrumented_stream::IoState;
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::ext::on_informational;
 use hyper::header::HeaderValue;
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::future::{poll_fn, Future};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -26,9 +28,7 @@
 use tokio::time::{sleep_until, Instant};
 use weldworks_balancer::{LoadReport, Outcome};
 use weldworks_control::body_streaming::{ExpectedLength, TransferState};
-use weldworks_control::execution::{
-    classify_attempt, classify_response, AttemptEnd, ResponseVerdict, WriteProgress,
-};
+use weldworks_control::execution::{classify_attempt, classify_response, AttemptEnd, ResponseVerdict};
 
 /// How an attempt ended.
 pub struct AttemptResult {
@@ -88,9 +88,26 @@
     pub liveness: Rc<ClientLiveness>,
     /// Cancels the attempt.
     pub cancel: Rc<Notify>,
+    /// Shows what the attempt is doing.
+    pub monitor: Rc<AttemptMonitor>,
 }
 
 impl Attempt {
+    /// The client's `X-Request-ID`, for the log.
+    pub(super) fn request_id(&self) -> &str {
+        let id = self.request.headers.get(REQUEST_ID_HEADER);
+        id.and_then(|id| id.to_str().ok()).unwrap_or_default()
+    }
+
+    fn result(
+        &self,
+        outcome: Outcome,
+        response: Option<UpstreamResponse>,
+        load_report: Option<LoadReport>,
+    ) -> AttemptResult {
+        AttemptResult { outcome, response, load_report, written_at: self.monitor.written_at() }
+    }
+
     fn is_past_write_deadline(&self) -> bool {
         self.write_by.is_some_and(|by| Instant::now() >= by)
     }
@@ -100,7 +117,7 @@
     ///
     /// This check is made before the request's first byte. Two checks follow it:
     ///
-    /// - [`IoState::is_past_write_deadline`] before each write of the request to the socket;
+    /// - `IoState::is_past_write_deadline` before each write of the request to the socket;
     /// - for a streamed body `StreamingRequestBody`, which delays the body's end until the client's connection was checked.
     fn may_be_written(&self) -> bool {
         let is_client_waiting = match &self.request.body {
@@ -118,18 +135,18 @@
 impl ConnectionPool {
     /// Makes the attempt. When the attempt has ended, its connection is closed, or idle in the pool.
     pub async fn attempt(&self, attempt: &Attempt, report: &dyn Fn(AttemptProgress)) -> AttemptResult {
-        let progress = ExchangeProgress::default();
+        let load_report = Cell::new(None);
         let exchanged = tokio::select! {
             biased;
             () = attempt.cancel.notified() => Err(AttemptEnd::Cancelled),
-            exchanged = self.exchange(attempt, &progress, report) => match exchanged {
+            exchanged = self.exchange(attempt, &load_report, report) => match exchanged {
                 Ok(Exchanged::Buffered(response)) => Ok(response),
                 Ok(Exchanged::Streaming(response)) => {
                     // While its response is streamed, only the client or the endpoint ends the attempt, not its deadline or a cancel.
-                    let load_report = progress.load_report.get();
+                    let load_report = load_report.get();
                     let outcome =
-                        self.stream_response(*response, &attempt.endpoint, load_report, report).await;
-                    return progress.into_result(outcome, None);
+                        self.stream_response(*response, attempt, load_report, report).await;
+                    return attempt.result(outcome, None, load_report);
                 }
                 Err(end) => Err(end),
             },
@@ -139,16 +156,16 @@
             Ok(_) => AttemptEnd::Answered(ResponseVerdict::Served),
             Err(end) => *end,
         };
-        let outcome = classify_attempt(progress.write_progress(), end);
+        let outcome = classify_attempt(attempt.monitor.write_progress(), end);
         let response = exchanged.ok().filter(|_| outcome == Outcome::Served);
-        progress.into_result(outcome, response)
+        attempt.result(outcome, response, load_report.get())
     }
 
     /// Writes the request, and reads the response as far as the response is buffered.
     async fn exchange(
         &self,
         attempt: &Attempt,
-        progress: &ExchangeProgress,
+        load_report: &Cell<Option<LoadReport>>,
         report: &dyn Fn(AttemptProgress),
     ) -> Result<Exchanged, AttemptEnd> {
         let mut connection = self.connection_for(attempt).await?;
@@ -156,9 +173,9 @@
             self.put_back(connection, &attempt.endpoint).await;
             return Err(AttemptEnd::Withheld);
         }
-        let received = self.write_and_read(attempt, &mut connection, progress, report).await?;
+        let received = self.write_and_read(attempt, &mut connection, report).await?;
         let Received { response: ReadResponse { head, body }, connection_closed, request_written } = received;
-        progress.load_report.set(load_report(&head.headers, &self.settings.borrow().load_report_fields));
+        load_report.set(parse_load_report(&head.headers, &self.settings.borrow().load_report_fields));
         let body = match body {
             ReadBody::Complete(body) => body,
             ReadBody::Partial(body) if head.status == StatusCode::OK => {
@@ -211,7 +228,6 @@
         &self,
         attempt: &Attempt,
         connection: &mut Connection,
-        progress: &ExchangeProgress,
         report: &dyn Fn(AttemptProgress),
     ) -> Result<Received, AttemptEnd> {
         let mut request = build_request(&attempt.request, attempt.deadline.get());
@@ -220,7 +236,7 @@
         on_informational(&mut request, move |_| informational_flag.store(true, Ordering::Relaxed));
         let io_state = connection.io_state.clone();
         io_state.begin_request(attempt.write_by);
-        progress.io_state.replace(Some(io_state.clone()));
+        attempt.monitor.begin_exchange(io_state.clone());
         let started_at = Instant::now();
         let sending = connection.sender.send_request(request);
         let expected_length = Cell::new(ExpectedLength::Short);
@@ -230,9 +246,10 @@
         let mut wait = ResponseWait {
             connection,
             io_state: &io_state,
+            attempt,
             body: &attempt.request.body,
-            retry_after_write: attempt.retry_after_write,
             metrics: &self.metrics,
+            stall_log: &self.stall_log,
             report,
             informational: &informational,
             expected_length: &expected_length,
@@ -287,26 +304,6 @@
     }
 }
 
-/// State of an exchange that is recorded while the exchange runs, and is still available where the exchange is cancelled.
-#[derive(Default)]
-struct ExchangeProgress {
-    /// The I/O state of the connection that the request is written to.
-    io_state: RefCell<Option<Rc<IoState>>>,
-    load_report: Cell<Option<LoadReport>>,
-}
-
-impl ExchangeProgress {
-    fn write_progress(&self) -> WriteProgress {
-        let io_state = self.io_state.borrow();
-        io_state.as_ref().map_or(WriteProgress::Nothing, |io_state| io_state.write_progress.get())
-    }
-
-    fn into_result(self, outcome: Outcome, response: Option<UpstreamResponse>) -> AttemptResult {
-        let written_at = self.io_state.borrow().as_ref().and_then(|io_state| io_state.written_at.get());
-        AttemptResult { outcome, response, load_report: self.load_report.get(), written_at }
-    }
-}
-
 /// The response that was received in an exchange.
 enum Exchanged {
     Buffered(UpstreamResponse),
--- a/crates/gateway/src/upstream/headers.rs
+++ b/crates/gateway/src/upstream/headers.rs
@@ -13,6 +13,9 @@
 /// The response header by which an endpoint states that it has not processed the request.
 pub(super) const NOT_PROCESSED_HEADER: &str = "x-not-processed";
 
+/// The request header with the client's identifier of the request.
+pub(super) const REQUEST_ID_HEADER: &str = "x-request-id";
+
 /// The request header with the time that the gateway waits for the endpoint's response, in microseconds with the suffix `u`.
 const TIMEOUT_HEADER: &str = "x-timeout";
 
@@ -45,7 +48,7 @@
 }
 
 /// The load report in a response's headers; `None` where there are several, since nothing shows which one is the endpoint's.
-pub(super) fn load_report(headers: &HeaderMap, fields: &LoadReportFields) -> Option<LoadReport> {
+pub(super) fn parse_load_report(headers: &HeaderMap, fields: &LoadReportFields) -> Option<LoadReport> {
     let mut reports = headers.get_all(LOAD_REPORT_HEADER).iter();
     let text = reports.next()?.to_str().ok()?;
     if reports.next().is_some() {
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to endpoints, and the attempts that are made on them: one attempt at a time on each connection.
 
 mod attempt;
+mod attempt_monitor;
 mod connect;
 mod connection;
 mod deadline;
@@ -11,6 +12,7 @@
 mod response_wait;
 
 pub use attempt::{Attempt, AttemptProgress, AttemptResult, RetryAfterWrite};
+pub use attempt_monitor::{AttemptMonitor, AttemptPhase};
 pub use deadline::Deadline;
 pub use pool::{ClosedIdleConnection, ConnectionPool, ConnectionSettings};
 
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -2,6 +2,7 @@
 
 use super::connection::Connection;
 use super::UpstreamEndpoint;
+use crate::log_rate_limit::LogRateLimit;
 use crate::metrics::Metrics;
 use crate::transport::descriptor_budget::{DescriptorPermit, DescriptorQuota};
 use std::cell::RefCell;
@@ -83,6 +84,10 @@
     pub(super) settings: RefCell<ConnectionSettings>,
     descriptors: DescriptorQuota,
     pub(super) metrics: Rc<Metrics>,
+    /// Limits the log lines about endpoints that stall.
+    pub(super) stall_log: LogRateLimit,
+    /// Limits the log lines about streamed responses that end early.
+    pub(super) early_end_log: LogRateLimit,
 }
 
 impl ConnectionPool {
@@ -98,6 +103,8 @@
             settings: RefCell::new(settings),
             descriptors,
             metrics,
+            stall_log: LogRateLimit::default(),
+            early_end_log: LogRateLimit::default(),
         }
     }
 
--- a/crates/gateway/src/upstream/response_stream.rs
+++ b/crates/gateway/src/upstream/response_stream.rs
@@ -1,10 +1,9 @@
 //! Streams a response that is too long to be buffered to the client, at the pace of the slower side.
 
-use super::attempt::AttemptProgress;
+use super::attempt::{Attempt, AttemptProgress};
 use super::connection::Connection;
 use super::pool::ConnectionPool;
 use super::response_reader::PartialBody;
-use super::UpstreamEndpoint;
 use crate::body::{ResponseBody, ResponseChunk, UpstreamResponse};
 use crate::limits::MAX_BODY_BYTES;
 use bytes::Bytes;
@@ -14,7 +13,7 @@
 use std::pin::Pin;
 use tokio::sync::mpsc;
 use tokio::time::{timeout, Instant};
-use tracing::debug;
+use tracing::info;
 use weldworks_balancer::{LoadReport, Outcome};
 use weldworks_control::body_streaming::PEER_STALL_TIMEOUT;
 
@@ -66,7 +65,7 @@
     pub(super) async fn stream_response(
         &self,
         response: StreamingResponse,
-        endpoint: &UpstreamEndpoint,
+        attempt: &Attempt,
         load_report: Option<LoadReport>,
         report: &dyn Fn(AttemptProgress),
     ) -> Outcome {
@@ -80,17 +79,28 @@
         report(AttemptProgress::ResponseStarted { response, first_byte_at, load_report });
         let mut source = ResponseSource { connection, connection_closed, unread, received_bytes };
         if let Err(early_end) = source.forward_to(&chunks).await {
-            let received_bytes = source.received_bytes;
-            let streamed_ms = first_byte_at.elapsed().as_millis() as u64;
-            debug!(reason = ?early_end, received_bytes, streamed_ms, "streamed response ended early");
+            self.log_early_end(attempt, early_end, &source, first_byte_at);
             return early_end.outcome();
         }
         if !source.connection_closed {
-            self.put_back(source.connection, endpoint).await;
+            self.put_back(source.connection, &attempt.endpoint).await;
         }
         let _ = chunks.send(ResponseChunk::End).await;
         Outcome::Served
     }
+
+    fn log_early_end(&self, attempt: &Attempt, reason: EarlyEnd, source: &ResponseSource, began: Instant) {
+        let Some(suppressed_lines) = self.early_end_log.admit(Instant::now()) else { return };
+        info!(
+            request_id = attempt.request_id(),
+            endpoint = attempt.endpoint.address.get().map(tracing::field::display),
+            ?reason,
+            received_bytes = source.received_bytes,
+            streamed_ms = began.elapsed().as_millis() as u64,
+            suppressed_lines,
+            "streamed response ended early"
+        );
+    }
 }
 
 impl ResponseSource {
--- a/crates/gateway/src/upstream/response_wait.rs
+++ b/crates/gateway/src/upstream/response_wait.rs
@@ -1,8 +1,9 @@
 //! Drives one connection while a request is written and its response read, and ends the wait when either side stalls.
 
-use super::attempt::{AttemptProgress, RetryAfterWrite};
+use super::attempt::{Attempt, AttemptProgress, RetryAfterWrite};
 use super::connection::Connection;
 use crate::body::{RequestPayload, StreamingUpload};
+use crate::log_rate_limit::LogRateLimit;
 use crate::metrics::Metrics;
 use crate::transport::instrumented_stream::IoState;
 use std::cell::Cell;
@@ -11,7 +12,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 use tokio::time::{Instant, Sleep};
-use tracing::debug;
+use tracing::info;
 use weldworks_control::body_streaming::{ExpectedLength, ResponseBuffering, TransferState};
 use weldworks_control::execution::WriteProgress;
 
@@ -19,9 +20,10 @@
 pub(super) struct ResponseWait<'a> {
     pub(super) connection: &'a mut Connection,
     pub(super) io_state: &'a IoState,
+    pub(super) attempt: &'a Attempt,
     pub(super) body: &'a RequestPayload,
-    pub(super) retry_after_write: RetryAfterWrite,
     pub(super) metrics: &'a Metrics,
+    pub(super) stall_log: &'a LogRateLimit,
     pub(super) report: &'a dyn Fn(AttemptProgress),
     /// Set when a 1xx response has arrived.
     pub(super) informational: &'a AtomicBool,
@@ -61,11 +63,16 @@
     }
 
     fn log_stall(&self) {
+        let Some(suppressed_lines) = self.stall_log.admit(Instant::now()) else { return };
         let response_idle = self.io_state.last_read_at.get().map(|at| at.elapsed());
-        debug!(
+        info!(
+            request_id = self.attempt.request_id(),
+            endpoint = self.attempt.endpoint.address.get().map(tracing::field::display),
+            written_bytes = self.attempt.monitor.written_bytes(),
             request_written = self.request_written,
             response_begun = self.io_state.first_read_at.get().is_some(),
             response_idle_ms = response_idle.map(|idle| idle.as_millis() as u64),
+            suppressed_lines,
             "connection to endpoint stalled, attempt abandoned"
         );
     }
@@ -123,7 +130,7 @@
         let last_read = self.io_state.last_read_at.get().unwrap_or(first_read);
         let response_start = first_read - self.started_at;
         let last_read = last_read.saturating_duration_since(self.started_at);
-        let next_byte_deadline = match self.retry_after_write {
+        let next_byte_deadline = match self.attempt.retry_after_write {
             RetryAfterWrite::Possible => {
                 let expected_length = self.expected_length.get();
                 ResponseBuffering::next_byte_deadline(response_start, last_read, expected_length)
--- a/crates/gateway/src/upstream/tests.rs
+++ b/crates/gateway/src/upstream/tests.rs
@@ -44,6 +44,7 @@
         retry_after_write: RetryAfterWrite::Possible,
         liveness: Rc::new(ClientLiveness::without_connection()),
         cancel: Rc::default(),
+        monitor: Rc::default(),
     }
 }
 
