gateway: one deadline for a streamed upload, in whatever phase it hangs

Callers saw: a final answer 2 to 10 s after their time, or none where they wait no longer, for a body over 64 KiB while something hung: an endpoint that had begun an answer and stopped reading, a connection that did not come up, an earlier upload of the same key; and no answer before the kill after a SIGTERM in one of these.

Cause: a streamed request had no deadline of its own (1,100 s from its start). Its end was bounded by the phase that its attempt was in (stall limits, connect timeout, the endpoint's wait), and some phases had no bound or one far beyond the client's time: a byte read from the endpoint replaced the client's time by a limit of 10 s for a response that makes no progress; the wait behind a key ended with the key; the shutdown deadline passed over bodies that had not been forwarded whole.

Change: the engine, which owes the answer, checks each upload every 0.1 s. The deadline is the client's time after the earliest moment at which the last byte may have been written. It moves only by proof that the client is still writing: the connection is read empty and the request's end was not among the bytes, or bytes arrived while the receive window was open (`control/last_byte_bound`, by the framing of the bytes, the unread ones and the size of the receive buffer; a client that sends nothing for 2.5 s proves nothing). At the deadline the attempt is ended, and its end tells whether the request may be refused (503, nothing written whole) or has failed (504); with no attempt in flight the engine answers at once, and 10 ms later in any case. The same holds at the shutdown deadline, unless the client is known to be writing still. A body whose request was answered is forwarded no further. The bound that stood in `response_wait` for one phase is gone.

Why it works: no phase can pass the engine's deadline, and every phase ends by it through the deadline of the attempt.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod endpoint_start;
 pub mod execution;
 pub mod hot_restart;
+pub mod last_byte_bound;
 pub mod retry_storm;
 pub mod watch_backoff;
--- a/crates/gateway/src/body/streaming_upload.rs
+++ b/crates/gateway/src/body/streaming_upload.rs
@@ -2,10 +2,10 @@
 
 use crate::metrics::RequestMetricsGuard;
 use crate::transport::client_liveness::ClientLiveness;
-use crate::transport::instrumented_stream::IoState;
+use crate::transport::request_arrival::RequestArrival;
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -13,6 +13,7 @@
 use std::time::Duration;
 use tokio::time::{timeout, Instant};
 use weldworks_control::body_streaming::{BodyError, BodyTransfer, TransferState};
+use weldworks_control::last_byte_bound::{LastByteBound, SAMPLE_INTERVAL};
 
 /// How long the body's last byte may have waited unread before the client's connection must be checked.
 /// The unread bytes may be all that the client wrote before it disconnected.
@@ -35,8 +36,8 @@
     pub metrics_guard: RequestMetricsGuard,
     /// Whether the client is still connected.
     pub client: Rc<ClientLiveness>,
-    /// The I/O state of the client's connection.
-    pub io_state: Rc<IoState>,
+    /// How far the request has arrived on the client's connection.
+    pub arrival: RequestArrival,
 }
 
 /// How far a streamed body has come, for the log.
@@ -65,7 +66,13 @@
     /// Time limit for the gateway's answer, counted from the body's last byte.
     pub answer_timeout: Duration,
     pub(super) client: Rc<ClientLiveness>,
-    io_state: Rc<IoState>,
+    arrival: RequestArrival,
+    /// Lower bound of when the client wrote the last byte, while that byte has not been read. Its times count from `start`.
+    last_byte_bound: RefCell<LastByteBound>,
+    /// The final bound, once the last byte has been read.
+    last_byte_at: Cell<Option<Instant>>,
+    /// Whether the request was answered, so that nothing more of the body may be forwarded.
+    is_abandoned: Cell<bool>,
     /// Counts the request as open from the body's last byte on.
     metrics_guard: RefCell<Option<RequestMetricsGuard>>,
 }
@@ -81,14 +88,50 @@
             start: Instant::now(),
             answer_timeout: source.answer_timeout,
             client: source.client,
-            io_state: source.io_state,
+            arrival: source.arrival,
+            last_byte_bound: RefCell::new(LastByteBound::new(Duration::ZERO)),
+            last_byte_at: Cell::new(None),
+            is_abandoned: Cell::new(false),
             metrics_guard: RefCell::new(Some(source.metrics_guard)),
         }
     }
 
     /// Lower bound of when the client wrote the body's last byte, which is not before the start of the upload.
     pub fn earliest_last_byte_at(&self) -> Instant {
-        self.io_state.arrival.earliest_write().map_or(self.start, |at| at.max(self.start))
+        if let Some(at) = self.last_byte_at.get() {
+            return at;
+        }
+        let bound = self.start + self.last_byte_bound.borrow().earliest();
+        let read_bound = self.arrival.io_state.arrival.earliest_write();
+        let earliest = read_bound.map_or(bound, |at| at.max(bound));
+        if self.arrival.is_read_completely() {
+            // Later reads belong to the next request.
+            self.last_byte_at.set(Some(earliest));
+        }
+        earliest
+    }
+
+    /// Observes whether the client is still writing, for [`StreamingUpload::earliest_last_byte_at`].
+    pub fn observe_client(&self, now: Instant) {
+        if let Some(sample) = self.arrival.sample(now) {
+            self.last_byte_bound.borrow_mut().record_sample(now - self.start, sample);
+        }
+    }
+
+    /// Whether the client was still writing by one of the last observations.
+    pub fn is_client_writing(&self, now: Instant) -> bool {
+        let is_recent = now.saturating_duration_since(self.earliest_last_byte_at()) <= 2 * SAMPLE_INTERVAL;
+        is_recent && !self.arrival.is_read_completely()
+    }
+
+    /// When the final answer is due, by what is known of the client's last byte.
+    pub fn answer_deadline(&self) -> Instant {
+        self.earliest_last_byte_at() + self.answer_timeout
+    }
+
+    /// Ends the forwarding of the body: its request was answered.
+    pub fn abandon(&self) {
+        self.is_abandoned.set(true);
     }
 
     /// Time that is left of the answer timeout, at least.
@@ -155,6 +198,9 @@
 
     /// Polls for the next chunk of the body; resolves to `None` at the body's end.
     pub(super) fn poll_data(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
+        if self.is_abandoned.get() {
+            return Poll::Ready(Some(Err(BodyError::Incomplete)));
+        }
         let now = self.start.elapsed();
         let mut transfer = self.transfer.borrow_mut();
         transfer.record_endpoint_ready(now);
--- a/crates/gateway/src/engine/driver.rs
+++ b/crates/gateway/src/engine/driver.rs
@@ -43,6 +43,7 @@
             match timer {
                 Timer::Balancer(token) => self.notify(Event::Timer { token }),
                 Timer::RequestDeadline(id) => self.enforce_request_deadline(id),
+                Timer::UploadCheck(id) => self.check_upload(id),
                 Timer::OpenWatch => self.open_missing_watch(),
                 Timer::ListLagCheck => self.refresh_lagging_list(),
                 Timer::DiscoverySwitch => self.carry_out_discovery_switch(),
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -17,6 +17,7 @@
 mod request_table;
 mod retry_storm;
 mod timers;
+mod upload_deadline;
 
 use crate::discovery::endpoint_list::ListFault;
 use crate::fleet::Fleet;
--- a/crates/gateway/src/engine/request_events.rs
+++ b/crates/gateway/src/engine/request_events.rs
@@ -1,10 +1,11 @@
 //! The engine's handlers for the arrival, progress and end of a request.
 
 use super::message::{Arrival, AttemptReport, FinalAnswer, ResponseStart};
-use super::request_table::RequestEntry;
+use super::request_table::{DeadlineState, RequestEntry};
 use super::retry_storm::retry_identity;
 use super::timers::Timer;
 use super::Engine;
+use crate::body::RequestPayload;
 use crate::upstream::UpstreamEndpoint;
 use hyper::StatusCode;
 use std::rc::Rc;
@@ -43,6 +44,10 @@
             client_retry = request.is_client_retry,
             "request arrived"
         );
+        let deadline_state = match &forward.body {
+            RequestPayload::Buffered(_) => DeadlineState::Fixed,
+            RequestPayload::Streaming(_) => DeadlineState::Estimated,
+        };
         let entry = RequestEntry {
             request_id,
             retry_identity: retry_identity(&request),
@@ -55,6 +60,7 @@
             attempts_in_flight: 0,
             possibly_processed: false,
             client_lacks_result: false,
+            deadline_state,
             last_outcome: Outcome::NotSent,
             class_index: request.class,
             class,
@@ -62,6 +68,7 @@
         let id = request.id;
         self.timers.push(answer_deadline, Timer::RequestDeadline(id));
         self.requests.insert(id, entry);
+        self.watch_upload(id);
         self.notify(Event::Request(request));
         self.requests.remove_if_done(id);
     }
@@ -103,7 +110,7 @@
     }
 
     /// Notifies the balancer that a request ended without a decision of the balancer: its client disconnected or its deadline passed.
-    fn abandon(&mut self, id: RequestId) {
+    pub(super) fn abandon(&mut self, id: RequestId) {
         self.notify(Event::ClientDisconnected { request: id });
         self.requests.remove_if_done(id);
     }
@@ -116,10 +123,13 @@
         entry.attempts_in_flight -= 1;
         entry.last_outcome = outcome;
         entry.possibly_processed |= written_after.is_some() && !outcome.proves_not_processed();
+        let is_expired = entry.deadline_state == DeadlineState::Expired && entry.attempts_in_flight == 0;
         let endpoint = entry.attempt_endpoint(attempt).cloned();
         self.forward_load_report(endpoint, load_report);
         if let Some(response) = response {
             self.answer(request, FinalAnswer::Served(response));
+        } else if is_expired {
+            self.answer_expired(request);
         }
         let Some(entry) = self.requests.get(request) else { return };
         let latency = latency_since.elapsed();
@@ -145,6 +155,7 @@
         let shutdown_deadline = self.handle.shutdown_deadline();
         let answer_deadline = shutdown_deadline.map_or(answer_deadline, |at| answer_deadline.min(at));
         entry.answer_deadline = answer_deadline;
+        entry.deadline_state = DeadlineState::Fixed;
         self.timers.push(answer_deadline, Timer::RequestDeadline(request));
         let answer_deadline = self.handle.balancer_time(answer_deadline);
         self.notify(Event::BodyForwarded { request, client_deadline: answer_deadline });
@@ -177,7 +188,7 @@
     }
 
     /// Sends the final answer, unless the request was already answered or its client has disconnected.
-    fn answer(&mut self, id: RequestId, answer: FinalAnswer) {
+    pub(super) fn answer(&mut self, id: RequestId, answer: FinalAnswer) {
         let Some(entry) = self.requests.get(id).filter(|entry| entry.answer.is_some()) else { return };
         let attempts = entry.attempts.len();
         let duration = entry.arrived_at.elapsed();
--- a/crates/gateway/src/engine/request_table.rs
+++ b/crates/gateway/src/engine/request_table.rs
@@ -31,6 +31,17 @@
     Attempt(AttemptPhase),
 }
 
+/// How the deadline of a request is determined.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum DeadlineState {
+    /// The deadline is `answer_deadline`.
+    Fixed,
+    /// The body is streamed and no endpoint has been sent all of it: the deadline follows from what is known of the client's last byte.
+    Estimated,
+    /// The deadline has passed: the request is answered with the end of its attempt.
+    Expired,
+}
+
 /// A request that is open or has an attempt in flight.
 pub(super) struct RequestEntry {
     pub(super) request_id: HeaderValue,
@@ -50,6 +61,7 @@
     pub(super) possibly_processed: bool,
     /// Whether the client has disconnected or was told that the request failed, and so does not know whether it was processed.
     pub(super) client_lacks_result: bool,
+    pub(super) deadline_state: DeadlineState,
     pub(super) last_outcome: Outcome,
     pub(super) class_index: usize,
     /// The class under which the request arrived, which stays registered until the request is removed from the table.
@@ -60,6 +72,9 @@
     /// Sends the request's final answer, unless it was sent before. No attempt of the request begins after this.
     pub(super) fn finish(&mut self, answer: FinalAnswer) {
         self.client.stop_waiting();
+        if let RequestPayload::Streaming(upload) = &self.forward.body {
+            upload.abandon();
+        }
         self.client_lacks_result = matches!(answer, FinalAnswer::Failed(_));
         if let Some(sender) = self.answer.take() {
             let _ = sender.send(answer); // sending fails where the client has disconnected
@@ -75,7 +90,7 @@
     pub(super) fn answer_due_at(&self) -> Instant {
         match &self.forward.body {
             RequestPayload::Buffered(_) => self.answer_deadline,
-            RequestPayload::Streaming(upload) => upload.earliest_last_byte_at() + upload.answer_timeout,
+            RequestPayload::Streaming(upload) => upload.answer_deadline(),
         }
     }
 
--- a/crates/gateway/src/engine/timers.rs
+++ b/crates/gateway/src/engine/timers.rs
@@ -12,6 +12,8 @@
     Balancer(u64),
     /// The deadline for a request's final answer, by the request's id.
     RequestDeadline(RequestId),
+    /// Whether the client of a streamed upload is still writing is to be checked, by the request's id.
+    UploadCheck(RequestId),
     /// The next watch on discovery is to be opened.
     OpenWatch,
     /// Whether this gateway still lacks an endpoint list that other gateways have is to be checked.
--- a/crates/gateway/src/server/http/request.rs
+++ b/crates/gateway/src/server/http/request.rs
@@ -13,6 +13,7 @@
 use crate::limits::MAX_BUFFERED_BODY_BYTES;
 use crate::metrics::{RequestEnding, RequestMetricsGuard};
 use crate::transport::client_liveness::ClientLiveness;
+use crate::transport::request_arrival::RequestArrival;
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -278,7 +279,12 @@
         answer_timeout: head.answer_timeout,
         metrics_guard,
         client: client.clone(),
-        io_state: connection.io_state.clone(),
+        arrival: RequestArrival {
+            probe: connection.probe.clone(),
+            io_state: connection.io_state.clone(),
+            framing: connection.framing.clone(),
+            request_number: connection.request_count.get(),
+        },
     }));
     ReceivedRequest {
         payload: RequestPayload::Streaming(upload.clone()),
--- a/crates/gateway/src/transport/arrival_time.rs
+++ b/crates/gateway/src/transport/arrival_time.rs
@@ -81,7 +81,7 @@
     }
 
     /// Whether the peer's send buffer may still hold bytes that it could not send while the receive buffer was full.
-    fn peer_may_hold_bytes(&self, at: Instant) -> bool {
+    pub fn peer_may_hold_bytes(&self, at: Instant) -> bool {
         self.full_buffer_emptied_at.get().is_some_and(|emptied_at| at - emptied_at < PEER_SEND_BUFFER_TIME)
     }
 }
--- a/crates/gateway/src/transport/instrumented_stream.rs
+++ b/crates/gateway/src/transport/instrumented_stream.rs
@@ -151,6 +151,15 @@
         }
     }
 
+    /// Reads from the socket and counts the bytes, including those that are stripped later.
+    fn poll_read_counted(&self, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = stream::poll_read(&self.stream, cx, buffer);
+        let bytes = (buffer.filled().len() - before) as u64;
+        self.io_state.bytes_read.set(self.io_state.bytes_read.get() + bytes);
+        read
+    }
+
     fn record_read(&self, bytes: usize) {
         let now = Instant::now();
         self.io_state.arrival.record_bytes(now, bytes as u64);
@@ -168,7 +177,7 @@
         let before = buffer.filled().len();
         let mut further_reads = MAX_FURTHER_READS;
         self.io_state.arrival.record_read_start(Instant::now());
-        let mut read = stream::poll_read(&self.stream, cx, buffer);
+        let mut read = self.poll_read_counted(cx, buffer);
         while let Some(framing) = self.read_framing.as_ref().filter(|_| buffer.filled().len() > before) {
             let retained = framing.borrow_mut().strip_chunk_extensions(&mut buffer.filled_mut()[before..]);
             buffer.set_filled(before + retained);
@@ -181,7 +190,7 @@
             }
             further_reads -= 1;
             // Another read is made, since returning without any bytes would mean the end of the stream.
-            read = stream::poll_read(&self.stream, cx, buffer);
+            read = self.poll_read_counted(cx, buffer);
         }
         if read.is_pending() && self.io_state.is_idle.get() && self.has_input() {
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
--- a/crates/gateway/src/transport/io_state.rs
+++ b/crates/gateway/src/transport/io_state.rs
@@ -15,6 +15,8 @@
     pub first_read_at: Cell<Option<Instant>>,
     /// When bytes were last read or found waiting to be read, over the whole life of the connection.
     pub last_read_at: Cell<Option<Instant>>,
+    /// Number of bytes that were read over the whole life of the connection.
+    pub bytes_read: Cell<u64>,
     /// When the bytes that were read last had been written by the peer.
     pub arrival: ArrivalTime,
     /// How much of the request has been written to the kernel, on streams that track the requests written.
--- a/crates/gateway/src/transport/mod.rs
+++ b/crates/gateway/src/transport/mod.rs
@@ -7,6 +7,7 @@
 pub mod instrumented_stream;
 mod io_state;
 pub mod message_framing;
+pub mod request_arrival;
 mod socket_probe;
 pub mod stream;
 pub mod system_errors;
--- a/crates/gateway/src/transport/socket_probe.rs
+++ b/crates/gateway/src/transport/socket_probe.rs
@@ -51,7 +51,17 @@
 
     /// Whether so many bytes are unread that the peer may have closed the connection without the close having arrived.
     pub fn may_hide_close(&self) -> bool {
-        rustix::io::ioctl_fionread(&*self.0).is_ok_and(|unread| unread >= UNREAD_BYTES_THAT_MAY_HIDE_CLOSE)
+        self.unread_bytes().is_some_and(|unread| unread >= UNREAD_BYTES_THAT_MAY_HIDE_CLOSE)
+    }
+
+    /// Number of bytes that wait in the kernel's receive buffer; `None` where the system does not tell.
+    pub fn unread_bytes(&self) -> Option<u64> {
+        rustix::io::ioctl_fionread(&*self.0).ok()
+    }
+
+    /// Size of the kernel's receive buffer in bytes; `None` where the system does not tell.
+    pub fn receive_buffer_bytes(&self) -> Option<u64> {
+        SockRef::from(&*self.0).recv_buffer_size().ok().map(|bytes| bytes as u64)
     }
 }
 
--- a/crates/gateway/src/upstream/response_wait.rs
+++ b/crates/gateway/src/upstream/response_wait.rs
@@ -2,7 +2,7 @@
 
 use super::attempt::{Attempt, AttemptProgress, RetryAfterWrite};
 use super::connection::Connection;
-use crate::body::{RequestPayload, StreamingUpload};
+use crate::body::RequestPayload;
 use crate::log_rate_limit::LogRateLimit;
 use crate::metrics::Metrics;
 use crate::transport::instrumented_stream::IoState;
@@ -111,7 +111,7 @@
             RequestPayload::Streaming(upload)
                 if !self.request_written && self.io_state.first_read_at.get().is_none() =>
             {
-                body_stall_deadline(upload)
+                upload.endpoint_deadline()
             }
             _ => self.response_stall_deadline(),
         }
@@ -142,10 +142,3 @@
         Some(self.started_at + next_byte_deadline)
     }
 }
-
-/// When an endpoint that accepts no more of a streamed body counts as stalled. Such an endpoint has not received the whole request.
-fn body_stall_deadline(upload: &StreamingUpload) -> Option<Instant> {
-    let endpoint_deadline = upload.endpoint_deadline()?;
-    // The client may have written the body's last byte long ago, and the client's own timeout counts from that write.
-    Some(endpoint_deadline.min(upload.earliest_last_byte_at() + upload.answer_timeout))
-}
