gateway: answer an upload that is still being written by the shutdown deadline

Callers saw: an upload whose client writes on after a SIGTERM got no answer where the kill came first, and 504 where it did not, with its work done: its answer was due at the shutdown deadline, which had passed when the last byte came.

Cause: the shutdown deadline, 0.25 s before the earliest kill, passed over uploads whose client was still writing.

Change: at the shutdown deadline such an upload is refused with 503, nothing of it was written whole, and its connection closes: the client may send it to another gateway. Why it works: nothing that is still arriving is left for the kill. What stays: a drain without SIGTERM lets uploads go on to their end.

The test bed's `HttpMessage` reads chunked bodies; the tests' own reader of requests is gone.

--- a/crates/gateway/src/body/streaming_upload.rs
+++ b/crates/gateway/src/body/streaming_upload.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 use tokio::time::{timeout, Instant};
 use weldworks_control::body_streaming::{BodyError, BodyTransfer, TransferState};
-use weldworks_control::last_byte_bound::{LastByteBound, SAMPLE_INTERVAL};
+use weldworks_control::last_byte_bound::LastByteBound;
 
 /// How long the body's last byte may have waited unread before the client's connection must be checked.
 /// The unread bytes may be all that the client wrote before it disconnected.
@@ -118,12 +118,6 @@
         }
     }
 
-    /// Whether the client was still writing by one of the last observations.
-    pub fn is_client_writing(&self, now: Instant) -> bool {
-        let is_recent = now.saturating_duration_since(self.earliest_last_byte_at()) <= 2 * SAMPLE_INTERVAL;
-        is_recent && !self.arrival.is_read_completely()
-    }
-
     /// When the final answer is due, by what is known of the client's last byte.
     pub fn answer_deadline(&self) -> Instant {
         self.earliest_last_byte_at() + self.answer_timeout
--- a/crates/gateway/src/engine/reconfiguration.rs
+++ b/crates/gateway/src/engine/reconfiguration.rs
@@ -57,7 +57,7 @@
             if entry.answer_deadline <= shutdown_deadline {
                 continue;
             }
-            // A request whose body is still arriving gets its deadline with the body's last byte.
+            // The deadline of an upload that is still arriving is enforced by `check_upload`.
             if let RequestPayload::Streaming(upload) = &entry.forward.body {
                 if upload.state() != TransferState::Complete {
                     continue;
--- a/crates/gateway/src/engine/upload_deadline.rs
+++ b/crates/gateway/src/engine/upload_deadline.rs
@@ -31,12 +31,10 @@
         let Some(upload) = estimated_upload(entry) else { return };
         let now = Instant::now();
         upload.observe_client(now);
-        let deadline = match self.handle.shutdown_deadline() {
-            Some(shutdown_deadline) if !upload.is_client_writing(now) => {
-                upload.answer_deadline().min(shutdown_deadline)
-            }
-            _ => upload.answer_deadline(),
-        };
+        let answer_deadline = upload.answer_deadline();
+        // A client that goes on writing after the shutdown deadline may write its last byte just before the process is killed.
+        let shutdown_deadline = self.handle.shutdown_deadline();
+        let deadline = shutdown_deadline.map_or(answer_deadline, |at| answer_deadline.min(at));
         if now >= deadline {
             return self.expire_upload(id);
         }
--- a/crates/gateway/src/lifecycle/shutdown.rs
+++ b/crates/gateway/src/lifecycle/shutdown.rs
@@ -12,7 +12,7 @@
     /// 2. With a listener of its own, accepts the rest of the kernel's accept queue, until the shutdown deadline at the latest. With a
     ///    shared listener, leaves the connections in the accept queue to the successor.
     /// 3. Waits for all connections to end. Idle connections are closed within the idle limit, and open requests are answered by the
-    ///    shutdown deadline unless their body is still arriving.
+    ///    shutdown deadline, also those whose client is still writing.
     ///    A streamed response is ended only by its client or endpoint, so step 3 has no upper bound of its own.
     /// 4. Ends the fleet session.
     pub(super) async fn shut_down(self) {
--- a/crates/gateway/tests/upload_deadlines/clients.rs
+++ b/crates/gateway/tests/upload_deadlines/clients.rs
@@ -30,7 +30,7 @@
     pub timeout: Duration,
     /// The affinity key, the cookie `k`.
     pub key: Option<u32>,
-    /// The pause after each piece that the client writes.
+    /// The pause between two pieces that the client writes.
     pub pause: Duration,
     /// The number of bytes after which the client pauses for [`Upload::stall`].
     pub stall_at: usize,
@@ -96,8 +96,10 @@
                 sleep(self.stall);
                 has_stalled = true;
             }
+            if index > 0 {
+                sleep(self.pause);
+            }
             stream.write_all(piece)?;
-            sleep(self.pause);
         }
         Ok(())
     }
--- a/crates/gateway/tests/upload_deadlines/endpoints.rs
+++ b/crates/gateway/tests/upload_deadlines/endpoints.rs
@@ -7,10 +7,16 @@
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::Duration;
+use weldworks_testbed::scripted::HttpMessage;
 
 /// Time for which an endpoint that has stopped keeps its connection open: longer than any client waits.
 const HOLD_TIME: Duration = Duration::from_secs(30);
 
+/// Receive buffer and pace of [`Behaviour::Trickle`].
+const TRICKLE_RECEIVE_BUFFER_BYTES: usize = 4 << 10;
+const TRICKLE_BYTES: usize = 100;
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// What an endpoint does with an upload.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Behaviour {
@@ -18,6 +24,8 @@
     Serve,
     /// Reads this many bytes, writes `answer_start`, and does nothing more.
     Stop { read_bytes: usize, answer_start: &'static str },
+    /// Reads a few bytes at a time, far more slowly than the request could be read in its time.
+    Trickle,
     /// Reads this many bytes, does nothing for `pause`, and serves the request then.
     Pause { read_bytes: usize, pause: Duration },
 }
@@ -106,6 +114,7 @@
                 Ok(())
             })
         }
+        Behaviour::Trickle => trickle(&mut stream),
         Behaviour::Pause { read_bytes, pause } => serve_after_pause(&stream, read_bytes, pause, received),
     };
 }
@@ -114,6 +123,14 @@
     std::io::copy(&mut Read::take(stream, bytes as u64), &mut std::io::sink()).map(drop)
 }
 
+fn trickle(stream: &mut TcpStream) -> std::io::Result<()> {
+    socket2::SockRef::from(&*stream).set_recv_buffer_size(TRICKLE_RECEIVE_BUFFER_BYTES)?;
+    loop {
+        sleep(TRICKLE_INTERVAL);
+        read_exactly(stream, TRICKLE_BYTES)?;
+    }
+}
+
 fn serve(stream: &TcpStream, received: &Received) -> std::io::Result<()> {
     serve_from(stream, stream, received)
 }
@@ -133,54 +150,19 @@
 
 fn serve_from(reader: impl Read, mut writer: &TcpStream, received: &Received) -> std::io::Result<()> {
     let mut reader = BufReader::new(reader);
-    while read_request(&mut reader, received)? {
+    while read_request(&mut reader, received) {
         writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")?;
     }
     Ok(())
 }
 
 /// Reads and records one request; false at the end of the connection.
-fn read_request(reader: &mut impl BufRead, received: &Received) -> std::io::Result<bool> {
-    let mut line = String::new();
-    if reader.read_line(&mut line)? == 0 {
-        return Ok(false);
-    }
-    let (mut request_id, mut announced, mut content_length) = (String::new(), 0, None);
-    loop {
-        line.clear();
-        reader.read_line(&mut line)?;
-        let Some((name, value)) = line.trim().split_once(": ") else { break };
-        match name.to_ascii_lowercase().as_str() {
-            "x-request-id" => value.clone_into(&mut request_id),
-            "x-attrs" => announced = value.trim_start_matches("length=").parse().unwrap_or(0),
-            "content-length" => content_length = value.parse().ok(),
-            _ => {}
-        }
-    }
-    let mut body = Vec::new();
-    match content_length {
-        Some(length) => {
-            body = vec![0; length];
-            reader.read_exact(&mut body)?;
-        }
-        None => read_chunks(reader, &mut body)?,
-    }
-    let has_content = body.iter().enumerate().all(|(offset, byte)| *byte == body_byte(offset));
-    received.record(request_id, CompleteRequest { is_intact: has_content && body.len() == announced });
-    Ok(true)
-}
-
-fn read_chunks(reader: &mut impl BufRead, body: &mut Vec<u8>) -> std::io::Result<()> {
-    loop {
-        let mut line = String::new();
-        reader.read_line(&mut line)?;
-        let size = usize::from_str_radix(line.trim(), 16).map_err(|_| std::io::ErrorKind::InvalidData)?;
-        let start = body.len();
-        body.resize(start + size, 0);
-        reader.read_exact(&mut body[start..])?;
-        reader.read_exact(&mut [0; 2])?;
-        if size == 0 {
-            return Ok(());
-        }
-    }
+fn read_request(reader: &mut impl BufRead, received: &Received) -> bool {
+    let Some(request) = HttpMessage::read(reader) else { return false };
+    let announced = request.header("x-attrs").and_then(|text| text.strip_prefix("length=")?.parse().ok());
+    let has_content = request.body.iter().enumerate().all(|(offset, byte)| *byte == body_byte(offset));
+    let is_intact = has_content && announced == Some(request.body.len());
+    let request_id = request.header("x-request-id").unwrap_or_default();
+    received.record(request_id.to_owned(), CompleteRequest { is_intact });
+    true
 }
--- a/crates/gateway/tests/upload_deadlines/main.rs
+++ b/crates/gateway/tests/upload_deadlines/main.rs
@@ -38,6 +38,8 @@
 struct Terms {
     dial_timeout: Duration,
     key_order: KeyOrder,
+    /// The gateway's limit of descriptors.
+    sockets: usize,
     /// The longest time that a request may have.
     deadline: Duration,
 }
@@ -45,6 +47,7 @@
 const DEFAULT_TERMS: Terms = Terms {
     dial_timeout: Duration::from_millis(100),
     key_order: KeyOrder::Parallel,
+    sockets: 256,
     deadline: Duration::from_millis(1200),
 };
 
@@ -68,7 +71,7 @@
         .enumerate()
         .map(|(index, address)| entry(&format!("s-{index}"), &address.to_string(), 1, "active"))
         .collect();
-    let mut config = config(&discovery.address.to_string(), 256, &known);
+    let mut config = config(&discovery.address.to_string(), terms.sockets, &known);
     config["settings"] = settings(terms);
     let gateway = Gateway::start_with(&PROGRAM, name, &discovery, &config);
     (gateway, discovery)
--- a/crates/gateway/tests/upload_deadlines/phases.rs
+++ b/crates/gateway/tests/upload_deadlines/phases.rs
@@ -23,25 +23,81 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nabc",
         "HTTP/1.1 500 Oops\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
     ];
+    check_answered_in_time(
+        "stop",
+        answer_starts.map(|answer_start| Behaviour::Stop { read_bytes: 7358, answer_start }),
+    );
+}
+
+/// Guards against a final answer that waits for an endpoint that reads nothing, or a few bytes now and then.
+#[test]
+fn upload_is_answered_in_time_if_its_endpoint_reads_almost_nothing() {
+    let behaviours = [Behaviour::Stop { read_bytes: 0, answer_start: "" }, Behaviour::Trickle];
+    check_answered_in_time("trickle", behaviours);
+}
+
+/// Checks uploads to endpoints of each behaviour, with bodies that the kernel's buffers hold and with longer ones.
+fn check_answered_in_time<const N: usize>(name: &str, behaviours: [Behaviour; N]) {
     let received = Received::default();
     scope(|threads| {
-        for (index, answer_start) in answer_starts.into_iter().enumerate() {
+        for (index, behaviour) in behaviours.into_iter().enumerate() {
             let received = &received;
             threads.spawn(move || {
-                let stop = Behaviour::Stop { read_bytes: 7358, answer_start };
-                let endpoints = start_alike(received, stop);
-                let (gateway, _discovery) = start(&format!("stop-{index}"), DEFAULT_TERMS, &endpoints);
-                for framing in FRAMINGS {
-                    let upload = Upload::new(UNBUFFERED_BODY_BYTES, framing, TIMEOUT);
-                    let result = upload.send(&gateway.address, &format!("stop-{index}-{framing:?}"));
-                    eprintln!("{answer_start:?}");
+                let endpoints = start_alike(received, behaviour);
+                let (gateway, _discovery) = start(&format!("{name}-{index}"), DEFAULT_TERMS, &endpoints);
+                for (framing, length) in
+                    FRAMINGS.into_iter().flat_map(|f| [(f, BODY_BYTES), (f, UNBUFFERED_BODY_BYTES)])
+                {
+                    let upload = Upload::new(length, framing, TIMEOUT);
+                    let request_id = format!("{name}-{index}-{framing:?}-{length}");
+                    let result = upload.send(&gateway.address, &request_id);
+                    eprintln!("{behaviour:?}");
                     assert_answered_in_time(result, &upload);
+                    assert_rejected_without_effect(result, received, &request_id);
                 }
             });
         }
     });
 }
 
+/// Guards against a deadline that a reload of the configuration forgets.
+#[test]
+fn upload_that_hangs_during_a_reload_is_answered_in_time() {
+    let received = Received::default();
+    let endpoints = start_alike(&received, Behaviour::Stop { read_bytes: 7358, answer_start: "HTTP/1.1 2" });
+    let (gateway, _discovery) = start("reload", DEFAULT_TERMS, &endpoints);
+    let gateway_address = gateway.address.clone();
+    let upload = Upload::new(UNBUFFERED_BODY_BYTES, Framing::Length, Duration::from_millis(1000));
+    let client = spawn(move || upload.send(&gateway_address, "reload"));
+    for _ in 0..5 {
+        sleep(Duration::from_millis(100));
+        gateway.signal("HUP");
+    }
+    assert_answered_in_time(client.join().expect("the client panicked"), &upload);
+}
+
+/// Guards against uploads that wait for a descriptor beyond their time, while others that hang have them all.
+#[test]
+fn uploads_that_hang_together_with_few_descriptors_are_answered_in_time() {
+    const CLIENT_COUNT: usize = 16;
+    let received = Received::default();
+    let endpoints = start_alike(&received, Behaviour::Stop { read_bytes: 7358, answer_start: "HTTP/1.1 2" });
+    let terms = Terms { sockets: 56, dial_timeout: Duration::from_secs(5), ..DEFAULT_TERMS };
+    let (gateway, _discovery) = start("descriptors", terms, &endpoints);
+    scope(|threads| {
+        for client in 0..CLIENT_COUNT {
+            let (gateway, received) = (&gateway, &received);
+            threads.spawn(move || {
+                let upload = Upload::new(BODY_BYTES, FRAMINGS[client % 2], TIMEOUT);
+                let request_id = format!("descriptors-{client}");
+                let result = upload.send(&gateway.address, &request_id);
+                assert_answered_in_time(result, &upload);
+                assert_rejected_without_effect(result, received, &request_id);
+            });
+        }
+    });
+}
+
 /// Guards against a final answer that comes as late as the connect timeout is long.
 #[test]
 fn upload_is_answered_in_time_if_no_connection_to_an_endpoint_comes_up() {
@@ -104,6 +160,30 @@
     }
 }
 
+/// Guards against an upload whose last byte comes just before the kill, so that nobody can answer it any more.
+#[test]
+fn upload_whose_client_goes_on_writing_in_a_shutdown_is_answered_before_the_kill() {
+    let received = Received::default();
+    let endpoints = start_alike(&received, Behaviour::Serve);
+    let terms = Terms { deadline: Duration::from_secs(30), ..DEFAULT_TERMS };
+    let (mut gateway, _discovery) = start("shutdown-writing", terms, &endpoints);
+    let gateway_address = gateway.address.clone();
+    let upload = Upload {
+        pause: Duration::from_millis(200),
+        ..Upload::new(40 * 16384, Framing::Chunked, Duration::from_secs(20))
+    };
+    let client = spawn(move || upload.send(&gateway_address, "shutdown-writing"));
+    sleep(Duration::from_millis(2000));
+    let signalled_at = Instant::now();
+    gateway.signal("TERM");
+    assert!(gateway.wait().success());
+    let ended_after = signalled_at.elapsed();
+    let result = client.join().expect("the client panicked");
+    eprintln!("process ended after {ended_after:?}: {result:?}");
+    assert!(result.status.is_none_or(|status| status == 503), "{result:?}");
+    assert!(received.of("shutdown-writing").is_empty(), "refused, but an endpoint has the whole request");
+}
+
 /// Guards against a deadline that ends the upload of a client that is still writing.
 #[test]
 fn upload_of_a_client_that_writes_with_pauses_longer_than_its_time_is_served() {
--- a/crates/testbed/src/scripted.rs
+++ b/crates/testbed/src/scripted.rs
@@ -14,7 +14,7 @@
 use crate::live::gateways::listening;
 use serde_json::{json, Value};
 use std::collections::{HashMap, VecDeque};
-use std::io::{BufRead, BufReader, Write};
+use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -27,6 +27,9 @@
 /// Timeout for conditions and answers in tests, longer than any of them takes on a slow machine.
 pub const LONG: Duration = Duration::from_secs(60);
 
+/// The line end of HTTP/1.1.
+const LINE_END: &str = "\r\n";
+
 /// What all stand-ins of a test have observed.
 #[derive(Clone)]
 pub struct Observations {
@@ -209,6 +212,9 @@
             .map_or(0, |length| length.parse().expect("the content length should be a number"));
         let mut body = vec![0; length];
         from.read_exact(&mut body).ok()?;
+        if headers.contains_key("transfer-encoding") {
+            read_chunked_body(from, &mut body).ok()?;
+        }
         Some(HttpMessage { first, headers, body })
     }
 
@@ -227,6 +233,22 @@
     }
 }
 
+/// Reads a chunked body to its end; the chunks must have neither extensions nor a trailer.
+fn read_chunked_body(from: &mut impl BufRead, body: &mut Vec<u8>) -> io::Result<()> {
+    loop {
+        let mut size_line = String::new();
+        from.read_line(&mut size_line)?;
+        let size = usize::from_str_radix(size_line.trim(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
+        let start = body.len();
+        body.resize(start + size, 0);
+        from.read_exact(&mut body[start..])?;
+        from.read_exact(&mut [0; LINE_END.len()])?;
+        if size == 0 {
+            return Ok(());
+        }
+    }
+}
+
 /// What an endpoint does with a request.
 #[derive(Clone, Debug)]
 pub enum Reply {
