soak: uploads whose endpoints stop, pause, trickle or break off while they read

Change: three of the ten clients send uploads (70 to 400 kB, one in five 4 to 6 MB, with a length or chunked, some written slowly, three affinity keys); endpoints draw a fault for each request that begins behind 2 to 60 kB; seeds vary the connect timeout (0.1, 0.3, 1.0 s) and run keys in sequence on one of four. All clauses of the history hold for uploads too: answered in time, refused without effect, one attempt for unsafe work. An upload whose client could not write the whole request, and of which no endpoint has a whole one, is no loss: the gateway may answer it early and close. An attempt counts from when its last byte may have come, as an endpoint that pauses reads it later. A violation now says how the request lay to the SIGTERM and the end of its process.

--- a/crates/gateway/tests/soak/clients.rs
+++ b/crates/gateway/tests/soak/clients.rs
@@ -1,6 +1,7 @@
 //! Clients of a run. Clients reuse their connections while these stay open, and disconnect now and then.
 
 use crate::faulty_stand_ins::body_for;
+use crate::uploads::Upload;
 use crate::workload_history::{Effect, Outcome, RequestRecord, RunState, CLASSES};
 use std::io::{BufReader, Write};
 use std::net::TcpStream;
@@ -25,6 +26,15 @@
 
 pub type Front = Arc<Mutex<Vec<Backend>>>;
 
+/// What a client sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClientKind {
+    /// Requests of all classes, with short bodies.
+    Usual,
+    /// Uploads.
+    Uploading,
+}
+
 struct Connection {
     reader: BufReader<TcpStream>,
     process: u64,
@@ -45,28 +55,41 @@
 }
 
 /// Runs one client until the run is over.
-pub fn run(state: &RunState, front: &Front, number: u64) {
+pub fn run(state: &RunState, front: &Front, number: u64, kind: ClientKind) {
     let mut random = state.random_stream(2 << 40 | number);
     let mut connection: Option<Connection> = None;
     while !state.is_over() {
         sleep(Duration::from_millis(random.u64(0..30)));
         let Some(mut connected) = connection.take().or_else(|| connect(front, &mut random)) else { continue };
-        if send_request(state, &mut connected, &mut random) {
+        if send_request(state, &mut connected, &mut random, kind) {
             connection = Some(connected);
         }
     }
 }
 
 /// Sends a request and records its outcome; returns whether the connection stays open.
-fn send_request(state: &RunState, connection: &mut Connection, random: &mut fastrand::Rng) -> bool {
+fn send_request(
+    state: &RunState,
+    connection: &mut Connection,
+    random: &mut fastrand::Rng,
+    kind: ClientKind,
+) -> bool {
     let id = state.next_id();
-    let class = random.usize(0..CLASSES.len());
+    let class = match kind {
+        ClientKind::Usual => random.usize(0..CLASSES.len()),
+        ClientKind::Uploading => random.usize(1..CLASSES.len()),
+    };
     let client_timeout = state.longest_deadline.mul_f64(0.2 + 0.8 * random.f64());
     let (reused, process) = (std::mem::replace(&mut connection.used, true), connection.process);
-    let sent = connection.reader.get_mut().write_all(request_text(id, class, client_timeout).as_bytes());
+    let stream = connection.reader.get_mut();
+    let sent = match kind {
+        ClientKind::Usual => stream.write_all(request_text(id, class, client_timeout).as_bytes()),
+        ClientKind::Uploading => Upload::draw(id, class, client_timeout, random).write(stream),
+    };
+    let was_written = sent.is_ok();
     let written_at = Instant::now();
     let disconnects = random.u8(0..12) == 0;
-    let outcome = if sent.is_err() {
+    let outcome = if !was_written && kind == ClientKind::Usual {
         Outcome::Closed { reused, partial: false }
     } else if disconnects {
         sleep(state.longest_deadline.mul_f64(0.5 * random.f64()));
@@ -82,6 +105,7 @@
         class,
         written_at,
         client_timeout,
+        was_written,
         ended_at: Instant::now(),
         outcome,
         process,
--- a/crates/gateway/tests/soak/faulty_stand_ins.rs
+++ b/crates/gateway/tests/soak/faulty_stand_ins.rs
@@ -1,5 +1,6 @@
 //! Stand-ins of a run: endpoints that misbehave by the seed, and a discovery service that sends changes at once.
 
+use crate::uploads::FaultyReader;
 use crate::workload_history::{Attempt, RunState};
 use serde_json::{json, Value};
 use std::io::{BufReader, Write};
@@ -36,9 +37,11 @@
 
 fn serve(state: &RunState, endpoint: usize, connection: u64, mut stream: TcpStream) {
     let mut random = state.random_stream(1 << 40 | (endpoint as u64) << 32 | connection);
-    let mut reader = BufReader::new(stream.try_clone().expect("clone of the stream failed"));
+    let faulty = FaultyReader::new(state, stream.try_clone().expect("clone of the stream failed"));
+    let mut reader = BufReader::new(faulty);
     let _ = stream.set_nodelay(true);
     loop {
+        reader.get_mut().draw_fault(&mut random);
         // Waits for the first byte separately, to record when the attempt begins.
         if !matches!(stream.peek(&mut [0]), Ok(1..)) {
             return;
@@ -50,7 +53,7 @@
         };
         let x_timeout = request.header("x-timeout").and_then(|text| text.strip_suffix('u')?.parse().ok());
         let x_timeout = x_timeout.map_or(Duration::MAX, Duration::from_micros);
-        let complete_at = Instant::now();
+        let complete_at = reader.get_ref().earliest_arrival();
         let attempt_index = {
             let mut attempts = state.attempts.lock().expect("lock poisoned");
             let request_attempts = attempts.entry(id).or_default();
--- a/crates/gateway/tests/soak/main.rs
+++ b/crates/gateway/tests/soak/main.rs
@@ -1,14 +1,15 @@
 //! Soak test: gateways are stopped, reloaded and killed in series, under clients that use open connections until the kill.
-//! The kill comes as early as the terms allow, and endpoints hang, break off, reject and drain.
+//! The kill comes as early as the terms allow, and endpoints hang, break off, reject and drain, also in the middle of an upload.
 //! Everything is drawn from a seed, and the history of the run is checked against the clauses of docs/terms-audit.md.
 //!
 //! CI runs a few fixed seeds; by hand: `SOAK_SEEDS=1-50 cargo test --release --test soak -- --nocapture`.
 
 mod clients;
 mod faulty_stand_ins;
+mod uploads;
 mod workload_history;
 
-use clients::{Backend, Front};
+use clients::{Backend, ClientKind, Front};
 use faulty_stand_ins::{start_discovery, start_endpoint, EndpointList};
 use serde_json::{json, Value};
 use std::net::{SocketAddr, TcpStream};
@@ -18,7 +19,7 @@
 use std::time::{Duration, Instant};
 use weldworks_testbed::run_folder::own_run_folder;
 use weldworks_testbed::scripted::{config, write_config, Gateway, Program, ScriptedDiscovery};
-use workload_history::{Drain, RunState};
+use workload_history::{Drain, RunState, Stop};
 
 static PROGRAM: LazyLock<Program> = LazyLock::new(|| {
     let folder = own_run_folder(env!("CARGO_TARGET_TMPDIR"));
@@ -28,6 +29,8 @@
 const ENDPOINT_COUNT: usize = 6;
 const GATEWAY_COUNT: usize = 2;
 const CLIENT_COUNT: u64 = 10;
+/// How many of the clients send uploads, whose bodies are too long to be buffered.
+const UPLOADING_CLIENT_COUNT: u64 = 3;
 /// Duration of a run with one seed.
 const RUN_TIME: Duration = Duration::from_secs(7);
 /// SIGKILL follows SIGTERM after the longest deadline plus this delay.
@@ -38,7 +41,7 @@
 fn settings(state: &RunState) -> Value {
     let class = |name: &str, effect: &str, deadline: Duration| {
         json!({"name": name, "promise_s": deadline.as_secs_f64() * 0.8, "deadline_s": deadline.as_secs_f64(), "effect": effect,
-            "group": "all", "dedup_window_s": state.idempotency_window.as_secs_f64(), "importance": 1.0, "late_worth": 0.0, "streaming": false})
+            "group": "all", "sequential": state.runs_keys_in_sequence, "dedup_window_s": state.idempotency_window.as_secs_f64(), "importance": 1.0, "late_worth": 0.0, "streaming": false})
     };
     let mut settings = weldworks_testbed::scripted::settings();
     settings["classes"] = json!([
@@ -46,7 +49,7 @@
         class("pay", "guarded", state.longest_deadline),
         class("once", "single_shot", state.longest_deadline.mul_f64(0.7)),
     ]);
-    settings["policy_limits"]["dial_timeout_s"] = 0.1.into();
+    settings["policy_limits"]["dial_timeout_s"] = state.dial_timeout.as_secs_f64().into();
     settings
 }
 
@@ -67,6 +70,11 @@
         format!("soak-{}-{}", self.state.seed, self.gateway)
     }
 
+    /// The number of the current process, which no other process of the run has.
+    fn process_number(&self) -> u64 {
+        (self.gateway as u64) << 32 | self.process_count
+    }
+
     fn start(&mut self) -> Gateway {
         let mut discovery = ScriptedDiscovery::start();
         discovery.address = self.discovery;
@@ -74,7 +82,7 @@
         self.config["known"]["endpoints"] = self.listed.lock().expect("lock poisoned").entries().into();
         let gateway = Gateway::start_with(&PROGRAM, &self.name(), &discovery, &self.config);
         self.process_count += 1;
-        let process = (self.gateway as u64) << 32 | self.process_count;
+        let process = self.process_number();
         let address = gateway.address.clone();
         self.front.lock().expect("lock poisoned")[self.gateway] =
             Backend { address, process, stopping_since: None, up: true };
@@ -116,6 +124,8 @@
         } else if !gateway.wait().success() {
             self.state.record_violation(format!("gateway {} crashed", self.gateway));
         }
+        let stop = Stop { signalled_at, ended_at: Instant::now() };
+        self.state.stops.lock().expect("lock poisoned").insert(self.process_number(), stop);
         for endpoint in &self.state.hanging[..hanging] {
             endpoint.store(false, Ordering::SeqCst);
         }
@@ -214,7 +224,9 @@
         }
         for number in 0..CLIENT_COUNT {
             let (state, front) = (&state, &front);
-            threads.spawn(move || clients::run(state, front, number));
+            let kind =
+                if number < UPLOADING_CLIENT_COUNT { ClientKind::Uploading } else { ClientKind::Usual };
+            threads.spawn(move || clients::run(state, front, number, kind));
         }
         sleep(RUN_TIME);
         state.over.store(true, Ordering::SeqCst);
--- a/crates/gateway/tests/soak/workload_history.rs
+++ b/crates/gateway/tests/soak/workload_history.rs
@@ -22,6 +22,7 @@
 pub struct Attempt {
     pub endpoint: usize,
     pub first_byte_at: Instant,
+    /// When the request's last byte had arrived, at the earliest: an endpoint that reads slowly reads it later.
     pub complete_at: Instant,
     /// The `X-Timeout` that the endpoint received.
     pub x_timeout: Duration,
@@ -53,6 +54,8 @@
     pub class: usize,
     pub written_at: Instant,
     pub client_timeout: Duration,
+    /// Whether the client could write the whole request: a gateway may answer an upload and close before its end.
+    pub was_written: bool,
     pub ended_at: Instant,
     pub outcome: Outcome,
     /// The process that the request was sent to; `reused` says whether on a connection that had been used before.
@@ -74,6 +77,10 @@
     /// The longest deadline of all classes.
     pub longest_deadline: Duration,
     pub idempotency_window: Duration,
+    /// How long a connection to an endpoint may take to come up.
+    pub dial_timeout: Duration,
+    /// Whether requests of one key run one at a time.
+    pub runs_keys_in_sequence: bool,
     pub started_at: Instant,
     pub over: AtomicBool,
     /// Whether idle clients use up the descriptors, so that a new connection may be closed unread.
@@ -83,9 +90,18 @@
     pub requests: Mutex<HashMap<u64, RequestRecord>>,
     pub drains: Mutex<Vec<Drain>>,
     pub hanging: Vec<AtomicBool>,
+    /// When each process got its first SIGTERM and when it ended, by its number.
+    pub stops: Mutex<HashMap<u64, Stop>>,
     pub recorded_violations: Mutex<Vec<String>>,
 }
 
+/// The stop of a process.
+#[derive(Clone, Copy, Debug)]
+pub struct Stop {
+    pub signalled_at: Instant,
+    pub ended_at: Instant,
+}
+
 impl RunState {
     pub fn new(seed: u64, endpoints: usize) -> RunState {
         let mut random = fastrand::Rng::with_seed(seed);
@@ -95,6 +111,8 @@
             seed,
             longest_deadline,
             idempotency_window,
+            dial_timeout: Duration::from_millis([100, 300, 1000][(seed % 3) as usize]),
+            runs_keys_in_sequence: seed % 4 == 1,
             started_at: Instant::now(),
             over: AtomicBool::new(false),
             fills_descriptors: seed % 5 == 4,
@@ -103,6 +121,7 @@
             requests: Mutex::default(),
             drains: Mutex::default(),
             hanging: (0..endpoints).map(|_| AtomicBool::new(false)).collect(),
+            stops: Mutex::default(),
             recorded_violations: Mutex::default(),
         }
     }
@@ -163,14 +182,16 @@
                     violation(&format!("answered {delay:?} after its deadline"));
                 }
             }
-            Outcome::Silent => violation("never answered"),
+            Outcome::Silent => violation(&format!("never answered; {}", self.describe_stop(record))),
+            Outcome::Closed { .. } if !record.was_written && request_attempts.is_empty() => {}
             Outcome::Closed { partial: true, .. } => violation("closed in the middle of its answer"),
             Outcome::Closed { reused, .. }
                 if !request_attempts.is_empty() || (!reused && !self.fills_descriptors) =>
             {
                 violation(&format!(
-                    "closed with no answer; reused: {reused}, attempts: {}",
-                    request_attempts.len()
+                    "closed with no answer; reused: {reused}, attempts: {}; {}",
+                    request_attempts.len(),
+                    self.describe_stop(record)
                 ));
             }
             Outcome::Closed { .. } | Outcome::Disconnected => {}
@@ -178,6 +199,22 @@
         found
     }
 
+    /// When the request was written and when it ended, relative to the stop of its process, for the report of a violation.
+    fn describe_stop(&self, record: &RequestRecord) -> String {
+        let stops = self.stops.lock().expect("lock poisoned");
+        let Some(stop) = stops.get(&record.process) else { return "its process was not stopped".to_owned() };
+        let ms_since_signal = |at: Instant| {
+            let after = at.saturating_duration_since(stop.signalled_at).as_millis() as i64;
+            after - stop.signalled_at.saturating_duration_since(at).as_millis() as i64
+        };
+        format!(
+            "written {} ms, over {} ms, process ended {} ms after SIGTERM",
+            ms_since_signal(record.written_at),
+            ms_since_signal(record.ended_at),
+            ms_since_signal(stop.ended_at)
+        )
+    }
+
     fn attempt_violations(
         &self,
         id: u64,
