testbed: split the gateway process and HTTP messages out of scripted.rs

Change: `scripted/gateway_process.rs` (process, configuration file, signals) and `scripted/http_message.rs`; `scripted.rs` keeps the stand-ins and clients and exports the same names, so no test changes. Moves only, no statement changed.

--- a/crates/testbed/src/scripted.rs
+++ b/crates/testbed/src/scripted.rs
@@ -11,12 +11,10 @@
     AttemptEnd, Checker, ClassTerms, FinalAnswer, ObservedAttempt, Rule, Rules, SentRequest,
 };
 use crate::live::endpoints::parse_request_number;
-use crate::live::gateways::listening;
 use serde_json::{json, Value};
 use std::collections::{HashMap, VecDeque};
-use std::io::{self, BufRead, BufReader, Write};
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
 use std::sync::{Arc, Mutex};
@@ -24,12 +22,15 @@
 use std::time::{Duration, Instant};
 use weldworks_balancer::{Idempotency, KeyScope};
 
+mod gateway_process;
+mod http_message;
+
+pub use gateway_process::{config, spawn_gateway, write_config, Gateway};
+pub use http_message::HttpMessage;
+
 /// Timeout for conditions and answers in tests, longer than any of them takes on a slow machine.
 pub const LONG: Duration = Duration::from_secs(60);
 
-/// The line end of HTTP/1.1.
-const LINE_END: &str = "\r\n";
-
 /// What all stand-ins of a test have observed.
 #[derive(Clone)]
 pub struct Observations {
@@ -182,73 +183,6 @@
     }
 }
 
-/// An HTTP/1.1 message: a request or a response.
-#[derive(Clone, Debug)]
-pub struct HttpMessage {
-    /// The start line of the message.
-    pub first: String,
-    /// The headers, with names in lower case.
-    pub headers: HashMap<String, String>,
-    /// The body of the message.
-    pub body: Vec<u8>,
-}
-
-impl HttpMessage {
-    /// Reads one message; `None` if the connection ends first.
-    pub fn read(from: &mut impl BufRead) -> Option<HttpMessage> {
-        let mut line = || {
-            let mut line = String::new();
-            (from.read_line(&mut line).ok()? > 0).then(|| line.trim_end().to_owned())
-        };
-        let first = line()?;
-        let mut headers = HashMap::new();
-        loop {
-            let line = line()?;
-            let Some((name, value)) = line.split_once(':') else { break };
-            headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
-        }
-        let length = headers
-            .get("content-length")
-            .map_or(0, |length| length.parse().expect("the content length should be a number"));
-        let mut body = vec![0; length];
-        from.read_exact(&mut body).ok()?;
-        if headers.contains_key("transfer-encoding") {
-            read_chunked_body(from, &mut body).ok()?;
-        }
-        Some(HttpMessage { first, headers, body })
-    }
-
-    /// The status of a response.
-    pub fn status(&self) -> u16 {
-        self.first
-            .split(' ')
-            .nth(1)
-            .and_then(|status| status.parse().ok())
-            .expect("the response should have a status")
-    }
-
-    /// The value of a header.
-    pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.get(name).map(String::as_str)
-    }
-}
-
-/// Reads a chunked body to its end; the chunks must have neither extensions nor a trailer.
-fn read_chunked_body(from: &mut impl BufRead, body: &mut Vec<u8>) -> io::Result<()> {
-    loop {
-        let mut size_line = String::new();
-        from.read_line(&mut size_line)?;
-        let size = usize::from_str_radix(size_line.trim(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
-        let start = body.len();
-        body.resize(start + size, 0);
-        from.read_exact(&mut body[start..])?;
-        from.read_exact(&mut [0; LINE_END.len()])?;
-        if size == 0 {
-            return Ok(());
-        }
-    }
-}
-
 /// What an endpoint does with a request.
 #[derive(Clone, Debug)]
 pub enum Reply {
@@ -535,225 +469,6 @@
     })
 }
 
-/// A gateway process, which is killed when the value is dropped.
-pub struct Gateway {
-    child: Child,
-    /// The address at which the gateway takes requests.
-    pub address: String,
-    /// The address of the gateway's admin API, if it has one.
-    pub management: Option<String>,
-}
-
-/// Starts the built program with a configuration file of this text.
-pub fn spawn_gateway(program: &Program, name: &str, text: &str) -> Child {
-    command(program, name, text).spawn().expect("starting the built gateway failed")
-}
-
-fn command(program: &Program, name: &str, text: &str) -> Command {
-    write_config(program, name, text);
-    let mut command = Command::new(program.path);
-    command.env_remove("ROUTER_LISTEN").env_remove("ROUTER_DISCOVERY");
-    command.env("ROUTER_CONFIG", config_path(program, name)).stderr(Stdio::piped());
-    command
-}
-
-fn config_path(program: &Program, name: &str) -> String {
-    format!("{}/{name}.json", program.folder)
-}
-
-/// Replaces the configuration file with a file of this text.
-pub fn write_config(program: &Program, name: &str, text: &str) {
-    let new = format!("{}.new", config_path(program, name));
-    std::fs::write(&new, text).expect("writing the configuration failed");
-    std::fs::rename(new, config_path(program, name)).expect("replacing the configuration failed");
-}
-
-/// A configuration with this discovery address, limit of sockets and known endpoints.
-pub fn config(discovery: &str, sockets: usize, known: &[Value]) -> Value {
-    json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "discovery": discovery,
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
-        "known": {"index": 41, "snapshot": true, "endpoints": known}, "settings": settings()})
-}
-
-impl Gateway {
-    /// Starts a gateway with these known endpoints and waits until it listens.
-    pub fn start(
-        program: &Program,
-        name: &str,
-        discovery: &ScriptedDiscovery,
-        sockets: usize,
-        known: &[Value],
-    ) -> Gateway {
-        // The environment variable has precedence over the file: nothing listens at the address in the file.
-        Gateway::start_with(program, name, discovery, &config("127.0.0.1:1", sockets, known))
-    }
-
-    /// Starts a gateway with the given configuration and waits until it listens.
-    pub fn start_with(
-        program: &Program,
-        name: &str,
-        discovery: &ScriptedDiscovery,
-        config: &Value,
-    ) -> Gateway {
-        let mut command = command(program, name, &config.to_string());
-        command.env("ROUTER_DISCOVERY", discovery.address.to_string());
-        Gateway::running(command)
-    }
-
-    /// Starts a gateway that inherits the client listener of this process, as descriptor 4.
-    pub fn start_shared(
-        program: &Program,
-        name: &str,
-        discovery: &ScriptedDiscovery,
-        config: &Value,
-        listener: &TcpListener,
-    ) -> Gateway {
-        Gateway::start_sharing(program, name, discovery, config, listener, "")
-    }
-
-    /// Starts a gateway that inherits the client listener of this process, with a folder that all processes of the gateway share; no folder if the name is empty.
-    pub fn start_sharing(
-        program: &Program,
-        name: &str,
-        discovery: &ScriptedDiscovery,
-        config: &Value,
-        listener: &TcpListener,
-        folder: &str,
-    ) -> Gateway {
-        let direct = command(program, name, &config.to_string());
-        let mut command = Command::new("sh");
-        command.args(["-c", "exec 4<&0 </dev/null; exec \"$0\"", program.path]);
-        for (key, value) in direct.get_envs() {
-            match value {
-                Some(value) => command.env(key, value),
-                None => command.env_remove(key),
-            };
-        }
-        let inherited: std::os::fd::OwnedFd = listener.try_clone().expect("cloning the stream failed").into();
-        command.stdin(inherited).stderr(Stdio::piped()).env("ROUTER_INHERITED_FD", "4");
-        command.env("ROUTER_DISCOVERY", discovery.address.to_string()).env_remove("TMPDIR");
-        if !folder.is_empty() {
-            command.env("TMPDIR", folder);
-        }
-        Gateway::running(command)
-    }
-
-    fn running(mut command: Command) -> Gateway {
-        let mut child = command.spawn().expect("starting the built gateway failed");
-        let mut management = None;
-        let mut log = BufReader::new(child.stderr.take().expect("the gateway's log is not captured"))
-            .lines()
-            .map_while(Result::ok);
-        let address = log.find_map(|line| {
-            let admin_address = line.split_once(" calls are answered address=");
-            management = admin_address.map(|(_, address)| address.trim().to_owned()).or(management.take());
-            listening(&line)
-        });
-        spawn(move || log.for_each(|line| eprintln!("gateway: {line}")));
-        Gateway { child, address: address.expect("the gateway's log states no address"), management }
-    }
-
-    /// Sends a request to the admin API and returns its answer.
-    pub fn call(&self, method: &str, path: &str) -> HttpMessage {
-        let mut stream = self.connect_admin();
-        write!(stream, "{method} {path} HTTP/1.1\r\nHost: staff\r\n\r\n")
-            .expect("writing to the admin API failed");
-        HttpMessage::read(&mut BufReader::new(stream)).expect("the admin API did not answer")
-    }
-
-    /// A connection to the admin API.
-    pub fn connect_admin(&self) -> TcpStream {
-        let address = self.management.as_ref().expect("the gateway has no admin API");
-        let stream = TcpStream::connect(address).expect("connecting to the gateway failed");
-        stream.set_read_timeout(Some(LONG)).expect("setting the read timeout failed");
-        stream
-    }
-
-    /// The value of a metric, by its name and labels as they are written in the metrics.
-    pub fn metric(&self, name: &str) -> Option<u64> {
-        let text = String::from_utf8(self.call("GET", "/_vars").body).expect("the metrics are not text");
-        text.lines().find_map(|line| line.strip_prefix(name)?.trim().parse().ok())
-    }
-
-    /// Whether the gateway process is running.
-    pub fn is_running(&mut self) -> bool {
-        self.child.try_wait().expect("reading the state of the gateway process failed").is_none()
-    }
-
-    /// The peak memory of the gateway process, in KiB.
-    pub fn peak_memory(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))
-            .expect("reading the process status failed");
-        let line = status
-            .lines()
-            .find_map(|line| line.strip_prefix("VmHWM:"))
-            .expect("the process status has no peak memory");
-        line.trim().trim_end_matches(" kB").parse().expect("the value is not a number")
-    }
-
-    /// The processor time that the gateway process has used so far.
-    pub fn cpu(&self) -> Duration {
-        // The first number is the time on a processor, in nanoseconds, of the one thread that does the work.
-        let text = std::fs::read_to_string(format!("/proc/{}/schedstat", self.child.id()))
-            .expect("reading the processor time failed");
-        let spent = text.split_whitespace().next().and_then(|ns| ns.parse().ok());
-        Duration::from_nanos(spent.expect("the value is not a number"))
-    }
-
-    /// How many descriptors the gateway process has open.
-    pub fn descriptors(&self) -> usize {
-        std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))
-            .expect("reading the open descriptors failed")
-            .count()
-    }
-
-    /// Opens a connection of a new client.
-    pub fn connect(&self) -> Client {
-        let stream = TcpStream::connect(&self.address).expect("connecting to the gateway failed");
-        stream.set_read_timeout(Some(LONG)).expect("setting the read timeout failed");
-        Client {
-            reader: BufReader::new(stream),
-            unanswered: VecDeque::new(),
-            observations: Observations::of_this_test(),
-        }
-    }
-
-    /// Sends a request on a new connection and returns its answer.
-    pub fn request(&self, class: &str) -> HttpMessage {
-        self.connect().request(class)
-    }
-
-    /// Sends the gateway process a signal, given by its name without SIG.
-    pub fn signal(&self, signal: &str) {
-        let kill = Command::new("sh").arg("-c").arg(format!("kill -{signal} {}", self.child.id())).status();
-        assert!(kill.expect("starting a shell failed").success());
-    }
-
-    /// Waits until the gateway process ends.
-    pub fn wait(&mut self) -> ExitStatus {
-        let start = Instant::now();
-        loop {
-            if let Some(status) =
-                self.child.try_wait().expect("reading the state of the gateway process failed")
-            {
-                return status;
-            }
-            assert!(start.elapsed() < LONG, "the gateway has not ended in time");
-            sleep(Duration::from_millis(5));
-        }
-    }
-}
-
-impl Drop for Gateway {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        if !std::thread::panicking() {
-            Observations::of_this_test().check();
-        }
-    }
-}
-
 /// A client with one connection.
 pub struct Client {
     reader: BufReader<TcpStream>,
