gateway: observe a client that is still writing where the system counts no unread bytes

Need: on a system that does not answer FIONREAD or SO_RCVBUF (a wrapped socket) no sample of an upload was taken, so a client that pauses for longer than its time would have been refused. Change: a look for any unread byte stands in for the count; any counts as enough to close the receive window, so the bound of the last byte stays on the early side.

--- a/crates/gateway/src/transport/request_arrival.rs
+++ b/crates/gateway/src/transport/request_arrival.rs
@@ -33,14 +33,14 @@
         framing.complete_messages().is_some_and(|messages| messages >= self.request_number)
     }
 
-    /// A sample of the arrival at `now`; `None` where the last byte was read, or where nothing can be known.
+    /// A sample of the arrival at `now`; `None` where the last byte was read, or where the framing can't be tracked.
     pub fn sample(&self, now: Instant) -> Option<ArrivalSample> {
         let complete_messages = self.framing.borrow().complete_messages()?;
         if complete_messages >= self.request_number {
             return None;
         }
-        let unread_bytes = self.probe.unread_bytes()?;
-        let receive_buffer_bytes = self.probe.receive_buffer_bytes()?;
+        let unread_bytes = self.unread_bytes();
+        let receive_buffer_bytes = self.probe.receive_buffer_bytes().unwrap_or(u64::MAX);
         let max_unread = (receive_buffer_bytes / RECEIVE_BUFFER_DIVISOR).min(MAX_UNREAD_WITH_OPEN_WINDOW);
         Some(ArrivalSample {
             arrived_bytes: self.io_state.bytes_read.get() + unread_bytes,
@@ -48,4 +48,11 @@
             is_window_open: unread_bytes < max_unread && !self.io_state.arrival.peer_may_hold_bytes(now),
         })
     }
+
+    /// Number of bytes that have arrived and were not read. Where the system only tells whether there are any, it is enough of them to
+    /// close the receive window.
+    fn unread_bytes(&self) -> u64 {
+        let unread_if_any = || if self.probe.has_unread() { MAX_UNREAD_WITH_OPEN_WINDOW } else { 0 };
+        self.probe.unread_bytes().unwrap_or_else(unread_if_any)
+    }
 }
