gateway: forward a long answer's head also after a hold-up at the deadline

Callers saw: 504 for a long answer whose head had come in time, where the gateway was held up for 10 ms or more when it was to forward it.

Cause: the head is forwarded 10 ms before the deadline of the answer. A process that is held up past the deadline finds both due at once, and the engine's timer answered 504 before the attempt came to forward the head.

Change: at the deadline, a request whose attempt has read a part of its response is left to the end of that attempt for 10 ms, less than the 15 ms by which the deadline lies before the client's time. Why it works: in the same turn the attempt looks at its response before its own deadline, and reports the head.

--- a/crates/gateway/src/engine/request_events.rs
+++ b/crates/gateway/src/engine/request_events.rs
@@ -102,11 +102,14 @@
     /// streamed upload does with the body's last byte, the timer of the new deadline ends the request.
     pub(super) fn enforce_request_deadline(&mut self, id: RequestId) {
         let now = Instant::now();
-        let is_due = |entry: &RequestEntry| entry.answer.is_some() && entry.answer_deadline <= now;
-        if self.requests.get(id).is_some_and(is_due) {
-            self.answer(id, FinalAnswer::Failed(StatusCode::GATEWAY_TIMEOUT));
-            self.abandon(id);
+        let is_due = |entry: &&mut RequestEntry| entry.answer.is_some() && entry.answer_deadline <= now;
+        let Some(entry) = self.requests.get_mut(id).filter(is_due) else { return };
+        if entry.deadline_state == DeadlineState::Fixed && entry.is_reading_response() {
+            // After a hold-up of this process, the start of a response that came in time may be about to be forwarded.
+            return self.await_attempt_end(id);
         }
+        self.answer(id, FinalAnswer::Failed(StatusCode::GATEWAY_TIMEOUT));
+        self.abandon(id);
     }
 
     /// Notifies the balancer that a request ended without a decision of the balancer: its client disconnected or its deadline passed.
--- a/crates/gateway/src/engine/request_table.rs
+++ b/crates/gateway/src/engine/request_table.rs
@@ -100,6 +100,11 @@
         last.map_or(RequestPhase::NoAttempt, |attempt| RequestPhase::Attempt(attempt.monitor.phase()))
     }
 
+    /// Whether an attempt is in flight that has read a part of its response.
+    pub(super) fn is_reading_response(&self) -> bool {
+        self.attempts_in_flight > 0 && self.phase() == RequestPhase::Attempt(AttemptPhase::ReadingResponse)
+    }
+
     /// The progress of a streamed body; `None` for a body that was buffered.
     pub(super) fn body_progress(&self) -> Option<UploadProgress> {
         match &self.forward.body {
--- a/crates/gateway/src/engine/upload_deadline.rs
+++ b/crates/gateway/src/engine/upload_deadline.rs
@@ -46,13 +46,19 @@
     fn expire_upload(&mut self, id: RequestId) {
         let now = Instant::now();
         let Some(entry) = self.requests.get_mut(id) else { return };
-        entry.deadline_state = DeadlineState::Expired;
         if entry.attempts_in_flight == 0 {
             self.answer_expired(id);
             return self.abandon(id);
         }
         entry.attempts.iter().for_each(|attempt| attempt.deadline.shorten_to(now));
-        entry.answer_deadline = now + ATTEMPT_END_GRACE;
+        self.await_attempt_end(id);
+    }
+
+    /// Leaves a request whose deadline has passed to the end of its attempt, for a moment.
+    pub(super) fn await_attempt_end(&mut self, id: RequestId) {
+        let Some(entry) = self.requests.get_mut(id) else { return };
+        entry.deadline_state = DeadlineState::Expired;
+        entry.answer_deadline = Instant::now() + ATTEMPT_END_GRACE;
         self.timers.push(entry.answer_deadline, Timer::RequestDeadline(id));
     }
 
--- a/crates/gateway/tests/day_by_day/bodies.rs
+++ b/crates/gateway/tests/day_by_day/bodies.rs
@@ -179,6 +179,27 @@
     assert_eq!((answer.status(), answer.whole, answer.digest), (200, true, body.digest()));
 }
 
+/// Guards against 504 for a long answer whose head came in time, because the gateway was held up when it was to forward the head.
+#[test]
+fn head_of_a_long_answer_is_forwarded_although_the_gateway_was_held_up_at_the_deadline() {
+    const HOLD_UP_START: Duration = Duration::from_millis(1420);
+    const HOLD_UP: Duration = Duration::from_millis(150);
+    let body = LargeBody { delay: Duration::from_secs(3), ..LargeBody::new(90_000, Framing::Length) };
+    let endpoint = LargeBodyEndpoint::start(body);
+    let (gateway, _discovery) = start("held-up", &[endpoint.entry("s-1")]);
+    let text = request("once").replace("40000m", "1500m");
+    let answer = std::thread::scope(|threads| {
+        threads.spawn(|| {
+            sleep(HOLD_UP_START);
+            gateway.signal("STOP");
+            sleep(HOLD_UP);
+            gateway.signal("CONT");
+        });
+        send_request(&gateway.address, &text, None, Duration::ZERO).expect("no answer")
+    });
+    assert_eq!((answer.status(), answer.whole, answer.digest), (200, true, body.digest()));
+}
+
 #[test]
 fn truncated_answer_is_visible_to_the_client_and_a_disconnect_to_the_endpoint() {
     for form in [Framing::Length, Framing::Chunked] {
